--- /dev/null
+++ b/benchlink/src/settings.rs
@@ -0,0 +1,94 @@
+//! The start message's settings, decoded into what a pilot is started with.
+
+use std::time::Duration;
+
+use dahliaroad::interface::{ClassTerms, Deployment, LevelUnit, Repeats};
+use serde_json::Value;
+
+use crate::fields::{Fields, Res};
+
+/// What the host itself has to know to decode later events.
+pub struct Opening {
+    pub deployment: Deployment,
+    pub load_fields: Vec<String>,
+    pub slices: u64,
+}
+
+pub fn span(milliseconds: f64) -> Res<Duration> {
+    Duration::try_from_secs_f64(milliseconds / 1000.0)
+        .map_err(|_| format!("{milliseconds} ms is not a span of time"))
+}
+
+fn span_field(fields: Fields, key: &str) -> Res<Duration> {
+    span(fields.number(key)?).map_err(|error| format!("field '{key}': {error}"))
+}
+
+fn class_terms(value: &Value, own_zone: bool) -> Res<ClassTerms> {
+    let class = Fields::of("classes", value)?;
+    let repeats = match class.text("idempotency")? {
+        "pure" => Repeats::Safe,
+        "token" if class.text("group")? == "all" => {
+            Repeats::KeyedEverywhere(span_field(class, "repeat_window_ms")?)
+        }
+        // A key that only some endpoints share is no cover: a table spans zones and cells.
+        "token" | "side_effect" => Repeats::Never,
+        other => return Err(format!("classes: unknown idempotency '{other}'")),
+    };
+    Ok(ClassTerms {
+        latency_goal: span_field(class, "on_time_ms")?,
+        cut_off: span_field(class, "deadline_ms")?,
+        value: class.number("worth")?,
+        repeats,
+        own_zone,
+    })
+}
+
+pub fn opening(settings: Fields) -> Res<Opening> {
+    let domain = settings.object("domain")?;
+    let rules = settings.object("rules")?;
+    let limits = settings.object("limits")?;
+    let report = settings.object("report")?;
+    let confined = match domain.optional("class_own_zone") {
+        Some(_) => domain.list("class_own_zone")?,
+        None => &[],
+    };
+    let classes = settings.list("classes")?;
+    let terms = classes.iter().enumerate().map(|(place, class)| {
+        class_terms(class, confined.get(place).and_then(Value::as_bool).unwrap_or(false))
+    });
+    let slices = domain.whole("key_ranges")?;
+    let unlimited = domain.whole("pushes_allowed")? == 0;
+    let deployment = Deployment {
+        zones: settings.list("zones")?.len(),
+        classes: terms.collect::<Res<_>>()?,
+        level_unit: match domain.text("admit")? {
+            "ratio" => LevelUnit::Share,
+            "rps" => LevelUnit::CallsPerSecond,
+            "silent" => LevelUnit::Ignored,
+            other => return Err(format!("domain: unknown admit '{other}'")),
+        },
+        sliced: slices > 0,
+        list_on_request: match settings.text("registry_mode")? {
+            "pushed" => false,
+            "on_request" => true,
+            other => return Err(format!("settings: unknown registry_mode '{other}'")),
+        },
+        probes_allowed: limits.flag("probes")?,
+        round: span_field(domain, "report_every_ms")?,
+        crossing_price: settings.object("deductions")?.amount("cross_zone")?,
+        lines_per_second: domain.amount("lines_per_s")?,
+        waiting_lines: domain.amount("backlog")?,
+        lines_per_message: domain.amount("per_message")?,
+        messages: if unlimited { None } else { Some(domain.small("pushes_allowed")? as usize) },
+        messages_span: if unlimited { Duration::ZERO } else { span_field(domain, "messages_over_ms")? },
+        start_capacity: rules.amount("start_capacity")?,
+        warm_up: span_field(rules, "warm_up_ms")?,
+    };
+    let load_fields = report.list("fields")?.iter();
+    let load_fields = load_fields.map(|name| name.as_str().map(str::to_owned)).collect::<Option<_>>();
+    Ok(Opening {
+        deployment,
+        load_fields: load_fields.ok_or("report: field 'fields' is not a list of texts")?,
+        slices,
+    })
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,147 @@
+//! What a [`Pilot`](crate::Pilot) is told and what it orders. No decision lives here.
+//!
+//! Times are spans since the start of the host's clock.
+
+use std::time::Duration;
+
+/// A name the host has numbered densely from 0, one number for as long as the pilot lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProxyId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TableId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub u32);
+
+/// The place of a class in [`Deployment::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClassId(pub u32);
+
+/// Which classes an order is for, one bit a class; no bit set means all of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassSet(pub u64);
+
+/// Whether a call of a class may be sent again after a try that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Safe,
+    /// A repeat is dropped by every endpoint for this long after the first sending.
+    KeyedEverywhere(Duration),
+    Never,
+}
+
+/// What one class of calls asks for.
+#[derive(Clone, Debug)]
+pub struct ClassTerms {
+    pub latency_goal: Duration,
+    pub cut_off: Duration,
+    pub value: f64,
+    pub repeats: Repeats,
+    /// Only endpoints of the proxy's own zone may take it.
+    pub own_zone: bool,
+}
+
+/// How a level is read by the proxies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LevelUnit {
+    /// The share of a class that is let in.
+    Share,
+    /// Calls a second that each proxy lets in.
+    CallsPerSecond,
+    /// Proxies ignore levels.
+    Ignored,
+}
+
+/// The figures a pilot is started with.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub zones: usize,
+    pub classes: Vec<ClassTerms>,
+    pub level_unit: LevelUnit,
+    /// Tables belong to slices of the key space; whole tables cannot be bound to proxies.
+    pub sliced: bool,
+    /// The list of endpoints has to be asked for.
+    pub list_on_request: bool,
+    pub probes_allowed: bool,
+    pub round: Duration,
+    /// Points lost for each call that crosses zones.
+    pub crossing_price: f64,
+    pub lines_per_second: f64,
+    /// Lines that may wait in the channel.
+    pub waiting_lines: f64,
+    pub lines_per_message: f64,
+    /// Messages one proxy may get within `messages_span`; `None` for no limit.
+    pub messages: Option<usize>,
+    pub messages_span: Duration,
+    /// Least part of its capacity that an endpoint starts with.
+    pub start_capacity: f64,
+    pub warm_up: Duration,
+}
+
+/// What a report of an endpoint said about its load, as far as it said anything.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// The part of its cores that is busy.
+    pub busy: Option<f64>,
+    pub waiting_calls: Option<f64>,
+}
+
+/// An endpoint as the list has it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub endpoint: EndpointId,
+    pub zone: ZoneId,
+    pub weight: f64,
+    /// `None`: long past.
+    pub started: Option<Duration>,
+    /// Running, and not draining.
+    pub open: bool,
+}
+
+/// What the proxies of one zone met at one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Met {
+    pub tries: f64,
+    pub failed: f64,
+    /// Mean time of the good answers; zero if there were none.
+    pub answer_time: Duration,
+    pub span: Duration,
+    pub load: LoadReport,
+}
+
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeEnd {
+    Answered,
+    /// Turned away: draining, or probed by too many at once. Says nothing about health.
+    TurnedAway,
+    Failed,
+}
+
+/// After what a proxy tries another endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tries {
+    Once,
+    /// One more, after proof that the first never ran.
+    AgainIfNeverRan,
+    AgainAfterAnyFailure,
+}
+
+/// What a pilot orders, to be carried out in the order of the fields and then of their entries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Orders {
+    pub ask_for_list: bool,
+    /// A weight of 0 takes the endpoint out of the table.
+    pub weights: Vec<(TableId, EndpointId, f64)>,
+    pub levels: Vec<(TableId, ClassSet, f64, Tries)>,
+    pub bindings: Vec<(ProxyId, TableId, ClassSet)>,
+    pub probes: Vec<EndpointId>,
+    /// Call [`Pilot::woken`](crate::Pilot::woken) after this long.
+    pub wake_after: Option<Duration>,
+    /// For the operators' log.
+    pub notes: Vec<String>,
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,756 @@
+//! Every decision of a pilot. A host tells it what happened by calling the methods of [`Pilot`] in the
+//! order of the happenings and carries out the [`Orders`] that each call returns; `interface.rs` holds
+//! the types of both. After each call the rules in [`RULES`] are gone through, first to last and over
+//! again, until none fires. The design, and where this departs from it, is in `docs/design.md`.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::interface::*;
+
+/// Rounds that a capacity is averaged over, the least busy fraction it is divided by, and how far from
+/// the average it may lie: the design's defaults.
+const ROUNDS: f64 = 10.0;
+const LEAST_BUSY: f64 = 0.2;
+const SPREAD: f64 = 4.0;
+/// What a comer gets of its estimate at first, to be doubled each round: the design's default.
+const FIRST_PART: f64 = 0.25;
+/// The design's staging: the most a weight moves a round, the least worth a push, the channel's part.
+const STEP: f64 = 0.2;
+const WORTH_PUSHING: f64 = 0.1;
+const CHANNEL_PART: f64 = 1.0 / 3.0;
+/// A line that would get a smaller share than this is not worth its place in the table.
+const LEAST_LINE: f64 = 0.005;
+/// Of the messages a proxy may get, the part that ordinary pushes use; the rest waits for drains.
+const ORDINARY_MESSAGES: f64 = 0.6;
+/// Of the lines that may wait, the part that may be filled: our count of what waits is a guess.
+const QUEUE_PART: f64 = 0.8;
+/// How often the rules are looked at when nothing is heard, and how long after the last line of a
+/// report its round is closed.
+const TICK: Duration = Duration::from_millis(100);
+const REPORT_TAIL: Duration = Duration::from_millis(20);
+/// A proxy's demand follows its reports by this much a round: calls come in bunches.
+const DEMAND_GAIN: f64 = 0.3;
+/// Suspicion: the failed part of recent tries, above what the better quarter of the fleet shows (all
+/// slow at once is nobody's fault), on at least this many failures. Older rounds fade by half.
+const FAILED_PART: f64 = 0.3;
+const FEWEST_FAILED: f64 = 2.0;
+const FADE: f64 = 0.5;
+/// Probes that must fail to confirm a suspicion, and be answered in a row to end it; the pause between.
+const STRIKES: f64 = 2.0;
+const ANSWERS: u32 = 3;
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+const PROBE_LOST: Duration = Duration::from_secs(3);
+/// The least part of the open endpoints that stays in the tables, whatever the probes say.
+const KEPT_OPEN: f64 = 1.0 / 3.0;
+
+/// The min-max split of flows over servers by proximal Jacobian ADMM, in the paper's letters (IV-B).
+/// `phi` and `theta` are the duals; `gamma` is the flow side, a row a flow, each on the simplex.
+#[derive(Default)]
+pub struct Split {
+    l: f64,
+    delta: Vec<f64>,
+    a: Vec<Vec<f64>>,
+    pub gamma: Vec<Vec<f64>>,
+    theta: Vec<f64>,
+    phi: Vec<Vec<f64>>,
+}
+
+const RHO: f64 = 0.1;
+const OMEGA: f64 = 0.3 * RHO;
+const TAU: f64 = 1.0;
+const STOP: f64 = 0.001;
+const ITERATIONS: usize = 30;
+/// Each block is solved in units that make its squared coefficients in the constraints sum to this, so
+/// that the proximal term OMEGA holds it: in the paper's units, without its bound on L, the iteration
+/// swings apart (the convergence condition of IV-C asks for OMEGA in proportion to that sum).
+const UNIT: f64 = OMEGA / RHO;
+
+impl Split {
+    /// Splits the flows' `demand` over servers of the given `capacity`; 0 means the server takes part
+    /// in no flow. Starts from the last round's iterate.
+    pub fn solve(&mut self, demand: &[f64], capacity: &[f64]) {
+        let servers: Vec<usize> = (0..capacity.len()).filter(|&j| capacity[j] > 0.0).collect();
+        let total: f64 = demand.iter().sum();
+        self.fit(demand.len(), capacity, &servers);
+        if servers.is_empty() || total <= 0.0 {
+            return;
+        }
+        // Units again: demand sums to one and capacities average one, so that no step drowns in a scale.
+        let mean = servers.iter().map(|&j| capacity[j]).sum::<f64>() / servers.len() as f64;
+        let d = |q: usize, j: usize| demand[q] / total / (capacity[j] / mean);
+        let flows = 0..demand.len();
+        for _ in 0..ITERATIONS {
+            let load = |a: &[Vec<f64>], j: usize| flows.clone().map(|q| a[q][j] * d(q, j)).sum::<f64>();
+            let (count, old_l) = (servers.len() as f64, self.l);
+            let (mut pull, mut a, mut gamma) = (0.0, self.a.clone(), self.gamma.clone());
+            let mut delta = self.delta.clone();
+            let held = RHO + OMEGA / UNIT;
+            for &j in &servers {
+                let now = load(&self.a, j);
+                pull += RHO * (now + self.delta[j]) - self.theta[j];
+                let free = RHO * (old_l - now) + self.theta[j] + OMEGA / UNIT * self.delta[j];
+                delta[j] = (free / held).max(0.0);
+                self.server_side(j, &mut a, flows.clone().map(|q| d(q, j)).collect());
+            }
+            let held_l = OMEGA / UNIT * count;
+            let l = ((pull + held_l * old_l - 1.0) / (RHO * count + held_l)).max(0.0);
+            for q in flows.clone() {
+                let wish = servers
+                    .iter()
+                    .map(|&j| (RHO * self.a[q][j] + OMEGA / UNIT * self.gamma[q][j] - self.phi[q][j]) / held);
+                let row = on_simplex(&wish.collect::<Vec<_>>());
+                servers.iter().zip(row).for_each(|(&j, part)| gamma[q][j] = part);
+            }
+            for &j in &servers {
+                self.theta[j] += TAU * RHO * (l - load(&a, j) - delta[j]);
+                for q in flows.clone() {
+                    self.phi[q][j] += TAU * RHO * (gamma[q][j] - a[q][j]);
+                }
+            }
+            let (mut moved, mut size) = ((l - old_l).powi(2), l * l);
+            for (new, old) in a.iter().zip(&self.a).chain(gamma.iter().zip(&self.gamma)) {
+                for (x, y) in new.iter().zip(old) {
+                    moved += (x - y).powi(2);
+                    size += x * x;
+                }
+            }
+            (self.l, self.delta, self.a, self.gamma) = (l, delta, a, gamma);
+            // While L is held at 0 the rest may stand still before it has begun.
+            if l > 0.0 && moved.sqrt() < STOP * size.sqrt() {
+                break;
+            }
+        }
+    }
+
+    /// One server's side: rises with its own load only, so a search over that load finds it.
+    fn server_side(&self, j: usize, a: &mut [Vec<f64>], d: Vec<f64>) {
+        let omega = OMEGA / UNIT * (1.0 + d.iter().map(|x| x * x).sum::<f64>());
+        let wish = |q: usize, load: f64| {
+            let pull = d[q] * (self.theta[j] + RHO * (self.l - self.delta[j] - load));
+            let near = RHO * self.gamma[q][j] + omega * self.a[q][j] + self.phi[q][j];
+            ((pull + near) / (RHO + omega)).clamp(0.0, 1.0)
+        };
+        let (mut low, mut high) = (0.0, d.iter().sum::<f64>());
+        for _ in 0..40 {
+            let middle = (low + high) / 2.0;
+            let load: f64 = (0..d.len()).map(|q| d[q] * wish(q, middle)).sum();
+            (low, high) = if load > middle { (middle, high) } else { (low, middle) };
+        }
+        (0..d.len()).for_each(|q| a[q][j] = wish(q, high));
+    }
+
+    /// Carries the iterate over to another set of servers: those that left are cleared, comers start in
+    /// proportion to capacity, and the duals keep the sums that they have at every optimum.
+    fn fit(&mut self, flows: usize, capacity: &[f64], servers: &[usize]) {
+        let sum: f64 = capacity.iter().sum();
+        let size = capacity.len();
+        self.theta.resize(size, 0.0);
+        self.delta.resize(size, 0.0);
+        for rows in [&mut self.a, &mut self.gamma, &mut self.phi] {
+            rows.resize(flows, Vec::new());
+            rows.iter_mut().for_each(|row| row.resize(size, 0.0));
+        }
+        for (j, &c) in capacity.iter().enumerate() {
+            let (was, is) = (self.theta[j] != 0.0, c > 0.0);
+            if was == is {
+                continue;
+            }
+            let part = if is { c / sum } else { 0.0 };
+            (self.theta[j], self.delta[j]) = (-part, 0.0);
+            for q in 0..flows {
+                (self.a[q][j], self.gamma[q][j]) = (part, part);
+                self.phi[q][j] = if is { 1.0 / (flows as f64 * servers.len() as f64) } else { 0.0 };
+            }
+        }
+        let scale = -self.theta.iter().sum::<f64>();
+        if scale > 0.0 {
+            self.theta.iter_mut().for_each(|dual| *dual /= scale);
+        }
+        for row in self.gamma.iter_mut().chain(&mut self.a) {
+            let sum: f64 = row.iter().sum();
+            if sum > 0.0 {
+                row.iter_mut().for_each(|part| *part /= sum);
+            }
+        }
+        if self.l == 0.0 && !servers.is_empty() {
+            self.l = 1.0 / servers.len() as f64;
+        }
+    }
+}
+
+/// The nearest point with parts of 0 or more that sum to one.
+fn on_simplex(wish: &[f64]) -> Vec<f64> {
+    let mut sorted = wish.to_vec();
+    sorted.sort_by(|x, y| y.total_cmp(x));
+    let (mut sum, mut cut) = (0.0, 0.0);
+    for (place, part) in sorted.iter().enumerate() {
+        sum += part;
+        let here = (sum - 1.0) / (place + 1) as f64;
+        if part - here > 0.0 {
+            cut = here;
+        }
+    }
+    wish.iter().map(|part| (part - cut).max(0.0)).collect()
+}
+
+/// What is known of the endpoints, in parallel arrays under the number of the endpoint.
+#[derive(Default)]
+struct Fleet {
+    home: Vec<usize>,
+    weight: Vec<f64>,
+    open: Vec<bool>,
+    started: Vec<Option<Duration>>,
+    /// When it was let in again, by the list or by its probes.
+    admitted: Vec<Option<Duration>>,
+    out: Vec<bool>,
+    /// This round's sums: good answers, failed tries, and the good ones' time in all.
+    good: Vec<f64>,
+    failed: Vec<f64>,
+    time: Vec<f64>,
+    quietest: Vec<f64>,
+    /// Averages over the rounds it was heard in, and how many those were.
+    rate: Vec<f64>,
+    busy: Vec<f64>,
+    rounds: Vec<f64>,
+    capacity: Vec<f64>,
+    /// Tries and failures of late, older rounds fading.
+    recent: Vec<f64>,
+    recent_failed: Vec<f64>,
+    strikes: Vec<f64>,
+    answers: Vec<u32>,
+    probed: Vec<Option<Duration>>,
+    probing: Vec<bool>,
+}
+
+impl Fleet {
+    fn grow(&mut self, size: usize) {
+        let size = size.max(self.home.len());
+        self.home.resize(size, 0);
+        self.open.resize(size, false);
+        self.out.resize(size, false);
+        self.probing.resize(size, false);
+        self.answers.resize(size, 0);
+        self.quietest.resize(size, f64::INFINITY);
+        for times in [&mut self.started, &mut self.admitted, &mut self.probed] {
+            times.resize(size, None);
+        }
+        let (sums, recent) = ([&mut self.good, &mut self.failed, &mut self.time], &mut self.recent);
+        let kept = [&mut self.rate, &mut self.busy, &mut self.rounds, &mut self.capacity, &mut self.strikes];
+        let rest = [recent, &mut self.recent_failed, &mut self.weight];
+        sums.into_iter().chain(kept).chain(rest).for_each(|figures| figures.resize(size, 0.0));
+    }
+}
+
+struct Proxy {
+    home: usize,
+    bound: bool,
+    /// Calls a second by class.
+    rates: Vec<f64>,
+    /// When it was sent messages of late.
+    messages: VecDeque<Duration>,
+}
+
+/// Classes that may go to the same endpoints, and so make one flow from each home.
+struct Group {
+    classes: ClassSet,
+    members: Vec<usize>,
+    confined: bool,
+}
+
+#[derive(Default, Clone)]
+struct Table {
+    /// The weight each endpoint has come to by steps, and the one that proxies were last sent.
+    weight: Vec<f64>,
+    sent: Vec<f64>,
+}
+
+pub struct Pilot {
+    site: Deployment,
+    now: Duration,
+    asked_for_list: bool,
+    wake_at: Option<Duration>,
+    last_round: Duration,
+    last_heard: Option<Duration>,
+    covered: Duration,
+    recast: bool,
+    queued: f64,
+    queued_at: Duration,
+    fleet: Fleet,
+    proxies: BTreeMap<ProxyId, Proxy>,
+    homes: usize,
+    groups: Vec<Group>,
+    splits: Vec<Split>,
+    tables: Vec<Table>,
+}
+
+struct Rule {
+    when: fn(&Pilot) -> bool,
+    then: fn(&mut Pilot, &mut Orders),
+}
+
+/// In order: what the list says, what the sums and probes say, then the tables from the most urgent
+/// change to the least, and last what is needed to be called again.
+const RULES: &[Rule] = &[
+    Rule { when: |p| p.site.list_on_request && !p.asked_for_list, then: Pilot::ask_for_list },
+    Rule { when: Pilot::round_is_due, then: Pilot::close_round },
+    Rule { when: |p| p.confirmed_bad().is_some(), then: Pilot::shut_out },
+    Rule { when: |p| p.confirmed_good().is_some(), then: Pilot::let_in },
+    Rule { when: |p| p.recast, then: Pilot::split },
+    Rule { when: |p| p.withdrawn_table().is_some(), then: Pilot::publish_withdrawals },
+    Rule { when: |p| p.unbound_proxy().is_some(), then: Pilot::bind },
+    Rule { when: |p| p.moved_table().is_some(), then: Pilot::publish_moves },
+    Rule { when: |p| p.probe_due().is_some(), then: Pilot::probe },
+    Rule { when: |p| p.wake_at.is_none_or(|at| at <= p.now), then: Pilot::ask_to_be_woken },
+];
+
+impl Pilot {
+    pub fn new(site: Deployment) -> Self {
+        let confined_class = |class: &usize| site.classes[*class].own_zone;
+        let (confined, free): (Vec<_>, Vec<_>) = (0..site.classes.len()).partition(confined_class);
+        let homes = if confined.is_empty() { 1 } else { site.zones };
+        let groups: Vec<Group> = [(free, false), (confined, true)]
+            .into_iter()
+            .filter(|(members, _)| !members.is_empty())
+            .map(|(members, confined)| Group {
+                classes: ClassSet(members.iter().map(|class| 1 << class).sum()),
+                members,
+                confined,
+            })
+            .collect();
+        Pilot {
+            now: Duration::ZERO,
+            asked_for_list: false,
+            wake_at: None,
+            last_round: Duration::ZERO,
+            last_heard: None,
+            covered: Duration::ZERO,
+            recast: false,
+            queued: 0.0,
+            queued_at: Duration::ZERO,
+            fleet: Fleet::default(),
+            proxies: BTreeMap::new(),
+            splits: (0..homes).map(|_| Split::default()).collect(),
+            tables: vec![Table::default(); homes * groups.len()],
+            homes,
+            groups,
+            site,
+        }
+    }
+
+    /// The list of endpoints, whole or only what changed.
+    pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) -> Orders {
+        self.now = now;
+        let size = entries.iter().map(|entry| entry.endpoint.0 as usize + 1).max().unwrap_or(0);
+        self.fleet.grow(size);
+        let first = self.fleet.open.iter().all(|open| !open);
+        let fleet = &mut self.fleet;
+        if whole {
+            fleet.open.iter_mut().for_each(|open| *open = false);
+        }
+        for entry in entries {
+            let e = entry.endpoint.0 as usize;
+            if entry.open && !first && (fleet.weight[e] == 0.0 || entry.started != fleet.started[e]) {
+                fleet.admitted[e] = Some(now);
+            }
+            fleet.home[e] = if self.homes > 1 { entry.zone.0 as usize } else { 0 };
+            fleet.weight[e] = entry.weight.max(f64::MIN_POSITIVE);
+            fleet.started[e] = entry.started;
+            fleet.open[e] = entry.open;
+        }
+        self.recast = true;
+        self.settle()
+    }
+
+    pub fn list_failed(&mut self, now: Duration) -> Orders {
+        self.now = now;
+        self.asked_for_list = false;
+        Orders { wake_after: Some(TICK), ..Orders::default() }
+    }
+
+    pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
+        self.now = now;
+        let classes = self.site.classes.len();
+        let state = Proxy {
+            home: if self.homes > 1 { zone.0 as usize } else { 0 },
+            bound: false,
+            rates: vec![usual_rate / classes as f64; classes],
+            messages: VecDeque::new(),
+        };
+        self.proxies.insert(proxy, state);
+        self.settle()
+    }
+
+    pub fn left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
+        self.now = now;
+        self.proxies.remove(&proxy);
+        self.settle()
+    }
+
+    /// Sums of what one zone's proxies met at an endpoint.
+    pub fn met(&mut self, now: Duration, endpoint: EndpointId, met: Met) -> Orders {
+        self.hear(now, met.span);
+        let e = endpoint.0 as usize;
+        self.fleet.grow(e + 1);
+        let good = (met.tries - met.failed).max(0.0);
+        self.fleet.good[e] += good;
+        self.fleet.failed[e] += met.failed;
+        self.fleet.time[e] += good * met.answer_time.as_secs_f64();
+        self.settle()
+    }
+
+    /// Calls of a class that came to a proxy.
+    pub fn came(
+        &mut self,
+        now: Duration,
+        proxy: ProxyId,
+        class: ClassId,
+        calls: f64,
+        span: Duration,
+    ) -> Orders {
+        self.hear(now, span);
+        if let Some(known) = self.proxies.get_mut(&proxy) {
+            let rate = &mut known.rates[class.0 as usize];
+            *rate += DEMAND_GAIN * (calls / span.as_secs_f64().max(0.1) - *rate);
+        }
+        self.settle()
+    }
+
+    pub fn probed(&mut self, now: Duration, endpoint: EndpointId, end: ProbeEnd) -> Orders {
+        self.now = now;
+        let (e, fleet) = (endpoint.0 as usize, &mut self.fleet);
+        fleet.probing[e] = false;
+        match end {
+            ProbeEnd::Answered => {
+                fleet.answers[e] += 1;
+                fleet.strikes[e] = (fleet.strikes[e] - 0.5).max(0.0);
+            }
+            ProbeEnd::Failed => {
+                fleet.answers[e] = 0;
+                fleet.strikes[e] += 1.0;
+            }
+            ProbeEnd::TurnedAway => {}
+        }
+        self.settle()
+    }
+
+    pub fn woken(&mut self, now: Duration) -> Orders {
+        self.now = now;
+        self.settle()
+    }
+
+    fn settle(&mut self) -> Orders {
+        let mut orders = Orders::default();
+        let drained = (self.now - self.queued_at).as_secs_f64() * self.site.lines_per_second * CHANNEL_PART;
+        self.queued = (self.queued - drained).max(0.0);
+        self.queued_at = self.now;
+        while let Some(rule) = RULES.iter().find(|rule| (rule.when)(self)) {
+            (rule.then)(self, &mut orders);
+        }
+        orders
+    }
+
+    fn hear(&mut self, now: Duration, span: Duration) {
+        self.now = now;
+        self.last_heard = Some(now);
+        self.covered = self.covered.max(span);
+    }
+
+    fn ask_for_list(&mut self, orders: &mut Orders) {
+        self.asked_for_list = true;
+        orders.ask_for_list = true;
+    }
+
+    fn ask_to_be_woken(&mut self, orders: &mut Orders) {
+        self.wake_at = Some(self.now + TICK);
+        orders.wake_after = Some(TICK);
+    }
+
+    /// A round ends when its report is in, or without one when none comes: ramps go on.
+    fn round_is_due(&self) -> bool {
+        let since = self.now.saturating_sub(self.last_round);
+        match self.last_heard {
+            Some(heard) => self.now >= heard + REPORT_TAIL && since * 2 >= self.site.round,
+            None => since * 2 >= self.site.round * 3,
+        }
+    }
+
+    fn close_round(&mut self, _: &mut Orders) {
+        if self.last_heard.take().is_some() {
+            self.learn();
+        }
+        self.last_round = self.now;
+        self.covered = Duration::ZERO;
+        self.recast = true;
+        self.split_round();
+    }
+
+    /// Folds the round's sums into the averages. Only good answers teach capacity: errors and refusals
+    /// are fast, and would make a failing endpoint look idle.
+    fn learn(&mut self) {
+        let span = self.covered.as_secs_f64().max(0.1);
+        for e in 0..self.fleet.home.len() {
+            let cold = self.ramp(e) < 1.0;
+            let fleet = &mut self.fleet;
+            let (good, failed) = (fleet.good[e], fleet.failed[e]);
+            fleet.recent[e] = fleet.recent[e] * FADE + good + failed;
+            fleet.recent_failed[e] = fleet.recent_failed[e] * FADE + failed;
+            if good > 0.0 && !cold {
+                let time = fleet.time[e] / good;
+                fleet.quietest[e] = fleet.quietest[e].min(time);
+                let busy = (1.0 - fleet.quietest[e] / time.max(f64::MIN_POSITIVE)).max(LEAST_BUSY);
+                fleet.rounds[e] = (fleet.rounds[e] + 1.0).min(ROUNDS);
+                fleet.rate[e] += (good / span - fleet.rate[e]) / fleet.rounds[e];
+                fleet.busy[e] += (busy - fleet.busy[e]) / fleet.rounds[e];
+            }
+            (fleet.good[e], fleet.failed[e], fleet.time[e]) = (0.0, 0.0, 0.0);
+        }
+    }
+
+    /// The part of its capacity that an endpoint may be given: doubling from a quarter as the design
+    /// has it, but never more than the slowest warm-up allows. All proxies' load is in the capacity
+    /// that is split, so no cold endpoint is sent more than its part however late other pilots act.
+    fn ramp(&self, e: usize) -> f64 {
+        let age = self.fleet.started[e].map_or(self.site.warm_up, |at| self.now.saturating_sub(at));
+        let warm = (age.as_secs_f64() / self.site.warm_up.as_secs_f64().max(0.001)).min(1.0);
+        let cold = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
+        let since = self.fleet.admitted[e].map_or(f64::INFINITY, |at| (self.now - at).as_secs_f64());
+        let doubled = FIRST_PART * (since / self.site.round.as_secs_f64().max(0.001)).floor().exp2();
+        cold.min(doubled).min(1.0)
+    }
+
+    /// Open and not shut out; if all open ones are shut out, shutting out has nothing left to protect.
+    fn usable(&self, e: usize) -> bool {
+        let fleet = &self.fleet;
+        let none_left = !(0..fleet.open.len()).any(|e| fleet.open[e] && !fleet.out[e]);
+        fleet.open[e] && (!fleet.out[e] || none_left)
+    }
+
+    fn estimate_capacity(&mut self) {
+        let heard = |fleet: &Fleet, e: usize| fleet.rounds[e] > 0.0;
+        let raw = |fleet: &Fleet, e: usize| fleet.rate[e] / fleet.busy[e];
+        let size = self.fleet.home.len();
+        let known: Vec<f64> =
+            (0..size).filter(|&e| heard(&self.fleet, e)).map(|e| raw(&self.fleet, e)).collect();
+        let average = known.iter().sum::<f64>() / known.len() as f64;
+        for e in 0..size {
+            let full = match heard(&self.fleet, e) {
+                _ if known.is_empty() => self.fleet.weight[e],
+                true => raw(&self.fleet, e).clamp(average / SPREAD, average * SPREAD),
+                false => average,
+            };
+            self.fleet.capacity[e] = if self.usable(e) { full * self.ramp(e) } else { 0.0 };
+        }
+    }
+
+    fn demand(&self, home: usize, group: usize) -> f64 {
+        let at_home = self.proxies.values().filter(|proxy| proxy.home == home);
+        at_home.flat_map(|proxy| self.groups[group].members.iter().map(|&class| proxy.rates[class])).sum()
+    }
+
+    fn split_round(&mut self) {
+        self.split_with(STEP);
+    }
+
+    /// Between rounds: endpoints came or went.
+    fn split(&mut self, _: &mut Orders) {
+        self.split_with(0.0);
+    }
+
+    fn split_with(&mut self, step: f64) {
+        self.recast = false;
+        self.estimate_capacity();
+        let size = self.fleet.home.len();
+        for home in 0..self.homes {
+            let demand: Vec<f64> = (0..self.groups.len()).map(|group| self.demand(home, group)).collect();
+            let at_home = |e: usize| if self.fleet.home[e] == home { self.fleet.capacity[e] } else { 0.0 };
+            let capacity: Vec<f64> = (0..size).map(at_home).collect();
+            self.splits[home].solve(&demand, &capacity);
+            for group in 0..self.groups.len() {
+                let targets = self.splits[home].gamma[group].clone();
+                self.step_table(home * self.groups.len() + group, &targets, step);
+            }
+        }
+    }
+
+    /// Moves a table towards the split. Lines that come, go or are ramping move at once: a step limit
+    /// would hold load on a cold endpoint or keep a gone one.
+    fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
+        let ramps: Vec<f64> = (0..targets.len()).map(|e| self.ramp(e)).collect();
+        let table = &mut self.tables[table];
+        table.weight.resize(targets.len(), 0.0);
+        table.sent.resize(targets.len(), 0.0);
+        for (e, &target) in targets.iter().enumerate() {
+            let target = if target < LEAST_LINE { 0.0 } else { target };
+            let weight = &mut table.weight[e];
+            *weight = if target == 0.0 || *weight == 0.0 || ramps[e] < 1.0 {
+                target
+            } else {
+                target.clamp(*weight * (1.0 - step), *weight * (1.0 + step))
+            };
+        }
+    }
+
+    fn proxies_of(&self, table: usize) -> impl Iterator<Item = &Proxy> {
+        let home = table / self.groups.len();
+        self.proxies.values().filter(move |proxy| proxy.bound && proxy.home == home)
+    }
+
+    /// Whether each proxy may get one more message, using up to `part` of what is allowed.
+    fn messages_left(&self, proxy: &Proxy, part: f64) -> bool {
+        let Some(most) = self.site.messages else { return true };
+        let recent = |at: &&Duration| **at + self.site.messages_span >= self.now;
+        (proxy.messages.iter().filter(recent).count() as f64) < (most as f64 * part).floor()
+    }
+
+    fn lines_worth_pushing(&self, table: usize) -> Vec<usize> {
+        let Table { weight, sent } = &self.tables[table];
+        let worth = |&e: &usize| (weight[e] - sent[e]).abs() > WORTH_PUSHING * sent[e];
+        (0..weight.len()).filter(worth).collect()
+    }
+
+    fn cost(&self, table: usize, lines: usize) -> f64 {
+        self.proxies_of(table).count() as f64 * (lines as f64 + self.site.lines_per_message)
+    }
+
+    fn withdrawn_table(&self) -> Option<usize> {
+        (0..self.tables.len()).find(|&table| {
+            let sent = &self.tables[table].sent;
+            let gone = (0..sent.len()).any(|e| sent[e] > 0.0 && !self.usable(e));
+            let lines = self.lines_worth_pushing(table).len();
+            let room = self.queued + self.cost(table, lines) <= QUEUE_PART * self.site.waiting_lines;
+            gone && room && self.proxies_of(table).all(|proxy| self.messages_left(proxy, 1.0))
+        })
+    }
+
+    fn publish_withdrawals(&mut self, orders: &mut Orders) {
+        if let Some(table) = self.withdrawn_table() {
+            self.publish(table, orders);
+        }
+    }
+
+    /// A table that moved enough, whose proxies have messages to spare, within the channel's part.
+    fn moved_table(&self) -> Option<usize> {
+        (0..self.tables.len()).filter(|_| !self.site.sliced).find(|&table| {
+            let lines = self.lines_worth_pushing(table).len();
+            let room = self.site.lines_per_second * CHANNEL_PART - self.queued;
+            lines > 0
+                && self.cost(table, lines) <= room
+                && self.proxies_of(table).all(|proxy| self.messages_left(proxy, ORDINARY_MESSAGES))
+        })
+    }
+
+    fn publish_moves(&mut self, orders: &mut Orders) {
+        if let Some(table) = self.moved_table() {
+            self.publish(table, orders);
+        }
+    }
+
+    fn publish(&mut self, table: usize, orders: &mut Orders) {
+        let mut lines = self.lines_worth_pushing(table);
+        self.queued += self.cost(table, lines.len());
+        lines.sort_by_key(|&e| self.tables[table].weight[e] > 0.0);
+        for e in lines {
+            let weight = self.tables[table].weight[e];
+            orders.weights.push((TableId(table as u32), EndpointId(e as u32), weight));
+            self.tables[table].sent[e] = weight;
+        }
+        let (now, home) = (self.now, table / self.groups.len());
+        let bound = self.proxies.values_mut().filter(|proxy| proxy.bound && proxy.home == home);
+        bound.for_each(|proxy| proxy.note_message(now));
+    }
+
+    fn unbound_proxy(&self) -> Option<ProxyId> {
+        let waiting = |(_, proxy): &(&ProxyId, &Proxy)| {
+            let tables = proxy.home * self.groups.len()..(proxy.home + 1) * self.groups.len();
+            let lines: usize = tables.clone().map(|t| self.tables[t].sent.len() + 1).sum();
+            let cost = lines as f64 + self.site.lines_per_message;
+            !proxy.bound
+                && !self.site.sliced
+                && tables.clone().any(|t| self.tables[t].sent.iter().any(|&weight| weight > 0.0))
+                && self.queued + cost <= QUEUE_PART * self.site.waiting_lines
+        };
+        self.proxies.iter().find(waiting).map(|(&id, _)| id)
+    }
+
+    fn bind(&mut self, orders: &mut Orders) {
+        let Some(id) = self.unbound_proxy() else { return };
+        let proxy = self.proxies.get_mut(&id).expect("found just now");
+        proxy.bound = true;
+        proxy.note_message(self.now);
+        for (place, group) in self.groups.iter().enumerate() {
+            let table = proxy.home * self.groups.len() + place;
+            let lines = self.tables[table].sent.iter().filter(|&&weight| weight > 0.0).count();
+            self.queued += lines as f64 + 1.0;
+            orders.bindings.push((id, TableId(table as u32), group.classes));
+        }
+        self.queued += self.site.lines_per_message;
+    }
+
+    /// Fails far more than the better quarter of the fleet does.
+    fn suspected(&self, e: usize) -> bool {
+        let fleet = &self.fleet;
+        let part = |e: usize| fleet.recent_failed[e] / fleet.recent[e].max(1.0);
+        let mut parts: Vec<f64> = (0..fleet.open.len()).filter(|&e| fleet.open[e]).map(part).collect();
+        parts.sort_by(f64::total_cmp);
+        let usual = parts.get(parts.len() / 4).copied().unwrap_or(0.0);
+        fleet.open[e] && fleet.recent_failed[e] >= FEWEST_FAILED && part(e) > FAILED_PART + usual
+    }
+
+    fn confirmed_bad(&self) -> Option<usize> {
+        let fleet = &self.fleet;
+        let open = fleet.open.iter().filter(|&&open| open).count() as f64;
+        let left = (0..fleet.open.len()).filter(|&e| fleet.open[e] && !fleet.out[e]).count() as f64;
+        let spare = left - 1.0 >= (open * KEPT_OPEN).max(1.0);
+        let bad = |&e: &usize| !fleet.out[e] && fleet.strikes[e] >= STRIKES && self.suspected(e);
+        (0..fleet.open.len()).filter(|_| spare).find(bad)
+    }
+
+    fn shut_out(&mut self, _: &mut Orders) {
+        let Some(e) = self.confirmed_bad() else { return };
+        self.fleet.out[e] = true;
+        self.fleet.answers[e] = 0;
+        self.recast = true;
+    }
+
+    fn confirmed_good(&self) -> Option<usize> {
+        (0..self.fleet.out.len()).find(|&e| self.fleet.out[e] && self.fleet.answers[e] >= ANSWERS)
+    }
+
+    fn let_in(&mut self, _: &mut Orders) {
+        let Some(e) = self.confirmed_good() else { return };
+        let fleet = &mut self.fleet;
+        (fleet.out[e], fleet.admitted[e], fleet.strikes[e]) = (false, Some(self.now), 0.0);
+        (fleet.recent[e], fleet.recent_failed[e]) = (0.0, 0.0);
+        self.recast = true;
+    }
+
+    fn probe_due(&self) -> Option<usize> {
+        let fleet = &self.fleet;
+        let due = |&e: &usize| {
+            let waited = fleet.probed[e].map_or(Duration::MAX, |at| self.now - at);
+            let pause = if fleet.probing[e] { PROBE_LOST } else { PROBE_PAUSE };
+            fleet.open[e] && waited >= pause && (fleet.out[e] || self.suspected(e))
+        };
+        (0..fleet.open.len()).filter(|_| self.site.probes_allowed).find(due)
+    }
+
+    fn probe(&mut self, orders: &mut Orders) {
+        let Some(e) = self.probe_due() else { return };
+        self.fleet.probed[e] = Some(self.now);
+        self.fleet.probing[e] = true;
+        orders.probes.push(EndpointId(e as u32));
+    }
+}
+
+impl Proxy {
+    /// Orders of one moment travel as one message.
+    fn note_message(&mut self, now: Duration) {
+        if self.messages.back() != Some(&now) {
+            self.messages.push_back(now);
+        }
+        if self.messages.len() > 64 {
+            self.messages.pop_front();
+        }
+    }
+}
