Take the busy fraction from load reports where endpoints send them

Cause: one minus quietest over current answer time sits on its floor of 0.2 at everyday loads with two or three cores, so capacities followed traffic and not speed. Reports say how busy the cores are; answer times stay the fallback. Harm: a report that lies about load would be believed; capacity stays within 4x of average.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -209,6 +209,7 @@
     failed: Vec<f64>,
     time: Vec<f64>,
     quietest: Vec<f64>,
+    reported: Vec<Option<f64>>,
     /// Averages over the rounds it was heard in, and how many those were.
     rate: Vec<f64>,
     busy: Vec<f64>,
@@ -232,6 +233,7 @@
         self.probing.resize(size, false);
         self.answers.resize(size, 0);
         self.quietest.resize(size, f64::INFINITY);
+        self.reported.resize(size, None);
         for times in [&mut self.started, &mut self.admitted, &mut self.probed] {
             times.resize(size, None);
         }
@@ -396,6 +398,7 @@
         self.fleet.good[e] += good;
         self.fleet.failed[e] += met.failed;
         self.fleet.time[e] += good * met.answer_time.as_secs_f64();
+        self.fleet.reported[e] = met.load.busy.filter(|busy| busy.is_finite()).or(self.fleet.reported[e]);
         self.settle()
     }
 
@@ -498,7 +501,8 @@
             if good > 0.0 && !cold {
                 let time = fleet.time[e] / good;
                 fleet.quietest[e] = fleet.quietest[e].min(time);
-                let busy = (1.0 - fleet.quietest[e] / time.max(f64::MIN_POSITIVE)).max(LEAST_BUSY);
+                let waiting = 1.0 - fleet.quietest[e] / time.max(f64::MIN_POSITIVE);
+                let busy = fleet.reported[e].take().unwrap_or(waiting).max(LEAST_BUSY);
                 fleet.rounds[e] = (fleet.rounds[e] + 1.0).min(ROUNDS);
                 fleet.rate[e] += (good / span - fleet.rate[e]) / fleet.rounds[e];
                 fleet.busy[e] += (busy - fleet.busy[e]) / fleet.rounds[e];
