Levels under overload, most value for its work first

Conclusion: right against overload, but the cut feeds itself: refused clients come again and count as demand.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,15 @@
 const ANSWERS: u32 = 3;
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 const PROBE_LOST: Duration = Duration::from_secs(3);
+/// Levels come down when the fleet is this busy and demand passes the target part of capacity; calls
+/// above it would only wait past their goals. The least level keeps a class measurable, and a change
+/// under the least step is not worth a line.
+const HOT: f64 = 0.9;
+const TARGET: f64 = 0.85;
+const LEAST_LEVEL: f64 = 0.02;
+const LEVEL_STEP: f64 = 0.05;
+/// More calls a second than any proxy has: lets all in where levels are rates.
+const ALL_CALLS: f64 = 1e6;
 /// The least part of the open endpoints that stays in the tables, whatever the probes say.
 const KEPT_OPEN: f64 = 1.0 / 3.0;
 
@@ -284,6 +293,9 @@
     groups: Vec<Group>,
     splits: Vec<Split>,
     tables: Vec<Table>,
+    /// By class: the part that is let in, and the level that proxies were last told.
+    levels: Vec<f64>,
+    told: Vec<f64>,
 }
 
 struct Rule {
@@ -301,6 +313,7 @@
     Rule { when: |p| p.recast, then: Pilot::split },
     Rule { when: |p| p.withdrawn_table().is_some(), then: Pilot::publish_withdrawals },
     Rule { when: |p| p.unbound_proxy().is_some(), then: Pilot::bind },
+    Rule { when: |p| p.moved_level().is_some(), then: Pilot::publish_levels },
     Rule { when: |p| p.moved_table().is_some(), then: Pilot::publish_moves },
     Rule { when: |p| p.probe_due().is_some(), then: Pilot::probe },
     Rule { when: |p| p.wake_at.is_none_or(|at| at <= p.now), then: Pilot::ask_to_be_woken },
@@ -334,6 +347,8 @@
             proxies: BTreeMap::new(),
             splits: (0..homes).map(|_| Split::default()).collect(),
             tables: vec![Table::default(); homes * groups.len()],
+            levels: vec![1.0; site.classes.len()],
+            told: vec![if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS }; site.classes.len()],
             homes,
             groups,
             site,
@@ -481,6 +496,8 @@
     fn close_round(&mut self, _: &mut Orders) {
         if self.last_heard.take().is_some() {
             self.learn();
+            self.estimate_capacity();
+            self.set_levels();
         }
         self.last_round = self.now;
         self.covered = Duration::ZERO;
@@ -502,7 +519,7 @@
                 let time = fleet.time[e] / good;
                 fleet.quietest[e] = fleet.quietest[e].min(time);
                 let waiting = 1.0 - fleet.quietest[e] / time.max(f64::MIN_POSITIVE);
-                let busy = fleet.reported[e].take().unwrap_or(waiting).max(LEAST_BUSY);
+                let busy = fleet.reported[e].unwrap_or(waiting).max(LEAST_BUSY);
                 fleet.rounds[e] = (fleet.rounds[e] + 1.0).min(ROUNDS);
                 fleet.rate[e] += (good / span - fleet.rate[e]) / fleet.rounds[e];
                 fleet.busy[e] += (busy - fleet.busy[e]) / fleet.rounds[e];
@@ -547,6 +564,91 @@
         }
     }
 
+    /// How busy the usable endpoints last said they are, on the whole. Without reports, demand over
+    /// capacity has to serve.
+    fn heat(&self, load: f64) -> f64 {
+        let fleet = &self.fleet;
+        let said = (0..fleet.home.len()).filter_map(|e| Some((fleet.capacity[e], fleet.reported[e]?)));
+        let (sum, busy) = said.fold((0.0, 0.0), |(sum, busy), (c, said)| (sum + c, busy + c * said));
+        if sum > 0.0 { busy / sum } else { load }
+    }
+
+    /// Under overload, lets in what capacity allows, the class with most value for its work first; the
+    /// latency goal is the only hint of a call's work. Demand above capacity is not proof: after a cut
+    /// the demand of comers is known before the capacity they bring, so the endpoints must be hot too.
+    fn set_levels(&mut self) {
+        let classes = self.site.classes.len();
+        let rate = |class: usize| self.proxies.values().map(|proxy| proxy.rates[class]).sum::<f64>();
+        let rates: Vec<f64> = (0..classes).map(rate).collect();
+        let (demand, capacity) = (rates.iter().sum::<f64>(), self.fleet.capacity.iter().sum::<f64>());
+        let load = demand / capacity.max(f64::MIN_POSITIVE);
+        let shedding = self.levels.iter().any(|&level| level < 1.0);
+        let over = load > TARGET && (shedding || self.heat(load) > HOT);
+        let mut room = if over { TARGET * capacity } else { f64::INFINITY };
+        let worth = |class: usize| {
+            self.site.classes[class].value / self.site.classes[class].latency_goal.as_secs_f64().max(0.001)
+        };
+        let mut order: Vec<usize> = (0..classes).collect();
+        order.sort_by(|&x, &y| worth(y).total_cmp(&worth(x)));
+        for class in order {
+            let level = (room / rates[class].max(f64::MIN_POSITIVE)).clamp(LEAST_LEVEL, 1.0);
+            room = (room - rates[class]).max(0.0);
+            self.levels[class] = level;
+        }
+    }
+
+    /// The level as the proxies read it. One rate serves every proxy of a pilot, so the busiest are cut
+    /// first, down to where the class as a whole comes to its part.
+    fn level_told(&self, class: usize) -> f64 {
+        let level = self.levels[class];
+        if level >= 1.0 {
+            return if self.site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS };
+        }
+        if self.site.level_unit == LevelUnit::Share {
+            return level;
+        }
+        let mut rates: Vec<f64> = self.proxies.values().map(|proxy| proxy.rates[class]).collect();
+        rates.sort_by(f64::total_cmp);
+        let mut room = level * rates.iter().sum::<f64>();
+        for (place, &rate) in rates.iter().enumerate() {
+            let even = room / (rates.len() - place) as f64;
+            if rate >= even {
+                return even;
+            }
+            room -= rate;
+        }
+        ALL_CALLS
+    }
+
+    /// A class whose level proxies were told too differently; all tables have the same.
+    fn moved_level(&self) -> Option<usize> {
+        let off = |&class: &usize| {
+            let (level, told) = (self.level_told(class), self.told[class]);
+            (level - told).abs() > LEVEL_STEP * told
+        };
+        let spare = self.proxies.values().all(|proxy| self.messages_left(proxy, ORDINARY_MESSAGES));
+        let usable = spare && !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
+        (0..self.told.len()).filter(|_| usable).find(off)
+    }
+
+    fn publish_levels(&mut self, orders: &mut Orders) {
+        let Some(class) = self.moved_level() else { return };
+        let level = self.level_told(class);
+        self.told[class] = level;
+        for (place, group) in self.groups.iter().enumerate() {
+            if group.members.contains(&class) {
+                for home in 0..self.homes {
+                    let table = TableId((home * self.groups.len() + place) as u32);
+                    orders.levels.push((table, ClassSet(1 << class), level, Tries::AgainIfNeverRan));
+                }
+            }
+        }
+        for proxy in self.proxies.values_mut().filter(|proxy| proxy.bound) {
+            proxy.note_message(self.now);
+            self.queued += 1.0 + self.site.lines_per_message;
+        }
+    }
+
     fn demand(&self, home: usize, group: usize) -> f64 {
         let at_home = self.proxies.values().filter(|proxy| proxy.home == home);
         at_home.flat_map(|proxy| self.groups[group].members.iter().map(|&class| proxy.rates[class])).sum()
