--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,7 @@
 /// under the least step is not worth a line.
 const HOT: f64 = 0.9;
 const TARGET: f64 = 0.85;
+const HEAT_GAIN: f64 = 0.5;
 const LEAST_LEVEL: f64 = 0.02;
 const LEVEL_STEP: f64 = 0.05;
 /// More calls a second than any proxy has: lets all in where levels are rates.
@@ -296,6 +297,9 @@
     /// By class: the part that is let in, and the level that proxies were last told.
     levels: Vec<f64>,
     told: Vec<f64>,
+    /// Good answers a second and busy fraction of the fleet, of the last rounds.
+    handled: f64,
+    heat: f64,
 }
 
 struct Rule {
@@ -349,6 +353,8 @@
             tables: vec![Table::default(); homes * groups.len()],
             levels: vec![1.0; site.classes.len()],
             told: vec![if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS }; site.classes.len()],
+            handled: 0.0,
+            heat: 0.0,
             homes,
             groups,
             site,
@@ -509,6 +515,7 @@
     /// are fast, and would make a failing endpoint look idle.
     fn learn(&mut self) {
         let span = self.covered.as_secs_f64().max(0.1);
+        self.handled += HEAT_GAIN * (self.fleet.good.iter().sum::<f64>() / span - self.handled);
         for e in 0..self.fleet.home.len() {
             let cold = self.ramp(e) < 1.0;
             let fleet = &mut self.fleet;
@@ -566,7 +573,7 @@
 
     /// How busy the usable endpoints last said they are, on the whole. Without reports, demand over
     /// capacity has to serve.
-    fn heat(&self, load: f64) -> f64 {
+    fn busy_now(&self, load: f64) -> f64 {
         let fleet = &self.fleet;
         let said = (0..fleet.home.len()).filter_map(|e| Some((fleet.capacity[e], fleet.reported[e]?)));
         let (sum, busy) = said.fold((0.0, 0.0), |(sum, busy), (c, said)| (sum + c, busy + c * said));
@@ -574,8 +581,10 @@
     }
 
     /// Under overload, lets in what capacity allows, the class with most value for its work first; the
-    /// latency goal is the only hint of a call's work. Demand above capacity is not proof: after a cut
-    /// the demand of comers is known before the capacity they bring, so the endpoints must be hot too.
+    /// latency goal is the only hint of a call's work. Demand above capacity is not proof: refused
+    /// clients that come again count as demand, and after a cut the demand of comers is known before
+    /// the capacity they bring. So the endpoints must be hot to begin with, and what they handle now at
+    /// the heat they show raises the estimate when the average is behind.
     fn set_levels(&mut self) {
         let classes = self.site.classes.len();
         let rate = |class: usize| self.proxies.values().map(|proxy| proxy.rates[class]).sum::<f64>();
@@ -583,8 +592,10 @@
         let (demand, capacity) = (rates.iter().sum::<f64>(), self.fleet.capacity.iter().sum::<f64>());
         let load = demand / capacity.max(f64::MIN_POSITIVE);
         let shedding = self.levels.iter().any(|&level| level < 1.0);
-        let over = load > TARGET && (shedding || self.heat(load) > HOT);
-        let mut room = if over { TARGET * capacity } else { f64::INFINITY };
+        self.heat += HEAT_GAIN * (self.busy_now(load) - self.heat);
+        let over = shedding || (load > TARGET && self.heat > HOT);
+        let shown = self.handled / self.heat.max(LEAST_BUSY);
+        let mut room = if over { TARGET * capacity.max(shown) } else { f64::INFINITY };
         let worth = |class: usize| {
             self.site.classes[class].value / self.site.classes[class].latency_goal.as_secs_f64().max(0.001)
         };
