--- a/src/policy.rs
+++ b/src/policy.rs
@@ -214,7 +214,7 @@
     /// When it was let in again, by the list or by its probes.
     admitted: Vec<Option<Duration>>,
     out: Vec<bool>,
-    /// This round's sums: good answers, failed tries, and the good ones' time in all.
+    /// This round's sums, by the second: good answers, failed tries, and the good ones' time in all.
     good: Vec<f64>,
     failed: Vec<f64>,
     time: Vec<f64>,
@@ -284,7 +284,6 @@
     wake_at: Option<Duration>,
     last_round: Duration,
     last_heard: Option<Duration>,
-    covered: Duration,
     recast: bool,
     queued: f64,
     queued_at: Duration,
@@ -343,7 +342,6 @@
             wake_at: None,
             last_round: Duration::ZERO,
             last_heard: None,
-            covered: Duration::ZERO,
             recast: false,
             queued: 0.0,
             queued_at: Duration::ZERO,
@@ -412,12 +410,15 @@
 
     /// Sums of what one zone's proxies met at an endpoint.
     pub fn met(&mut self, now: Duration, endpoint: EndpointId, met: Met) -> Orders {
-        self.hear(now, met.span);
+        self.hear(now);
         let e = endpoint.0 as usize;
         self.fleet.grow(e + 1);
-        let good = (met.tries - met.failed).max(0.0);
+        // By the second, line by line: what a proxy met out of reach comes late, over a long span, and
+        // must not stretch the others' round.
+        let seconds = met.span.as_secs_f64().max(0.1);
+        let good = (met.tries - met.failed).max(0.0) / seconds;
         self.fleet.good[e] += good;
-        self.fleet.failed[e] += met.failed;
+        self.fleet.failed[e] += met.failed / seconds;
         self.fleet.time[e] += good * met.answer_time.as_secs_f64();
         self.fleet.reported[e] = met.load.busy.filter(|busy| busy.is_finite()).or(self.fleet.reported[e]);
         self.settle()
@@ -432,7 +433,7 @@
         calls: f64,
         span: Duration,
     ) -> Orders {
-        self.hear(now, span);
+        self.hear(now);
         if let Some(known) = self.proxies.get_mut(&proxy) {
             let rate = &mut known.rates[class.0 as usize];
             *rate += DEMAND_GAIN * (calls / span.as_secs_f64().max(0.1) - *rate);
@@ -474,10 +475,9 @@
         orders
     }
 
-    fn hear(&mut self, now: Duration, span: Duration) {
+    fn hear(&mut self, now: Duration) {
         self.now = now;
         self.last_heard = Some(now);
-        self.covered = self.covered.max(span);
     }
 
     fn ask_for_list(&mut self, orders: &mut Orders) {
@@ -506,7 +506,6 @@
             self.set_levels();
         }
         self.last_round = self.now;
-        self.covered = Duration::ZERO;
         self.recast = true;
         self.split_round();
     }
@@ -514,8 +513,7 @@
     /// Folds the round's sums into the averages. Only good answers teach capacity: errors and refusals
     /// are fast, and would make a failing endpoint look idle.
     fn learn(&mut self) {
-        let span = self.covered.as_secs_f64().max(0.1);
-        self.handled += HEAT_GAIN * (self.fleet.good.iter().sum::<f64>() / span - self.handled);
+        self.handled += HEAT_GAIN * (self.fleet.good.iter().sum::<f64>() - self.handled);
         for e in 0..self.fleet.home.len() {
             let cold = self.ramp(e) < 1.0;
             let fleet = &mut self.fleet;
@@ -528,7 +526,7 @@
                 let waiting = 1.0 - fleet.quietest[e] / time.max(f64::MIN_POSITIVE);
                 let busy = fleet.reported[e].unwrap_or(waiting).max(LEAST_BUSY);
                 fleet.rounds[e] = (fleet.rounds[e] + 1.0).min(ROUNDS);
-                fleet.rate[e] += (good / span - fleet.rate[e]) / fleet.rounds[e];
+                fleet.rate[e] += (good - fleet.rate[e]) / fleet.rounds[e];
                 fleet.busy[e] += (busy - fleet.busy[e]) / fleet.rounds[e];
             }
             (fleet.good[e], fleet.failed[e], fleet.time[e]) = (0.0, 0.0, 0.0);
