--- a/src/policy.rs
+++ b/src/policy.rs
@@ -299,6 +299,9 @@
     /// Good answers a second and busy fraction of the fleet, of the last rounds.
     handled: f64,
     heat: f64,
+    /// Tries a second that the proxies make, or will once what is let in has come to them.
+    tries: f64,
+    tried: f64,
 }
 
 struct Rule {
@@ -352,6 +355,8 @@
             levels: vec![1.0; site.classes.len()],
             told: vec![if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS }; site.classes.len()],
             handled: 0.0,
+            tries: 0.0,
+            tried: 0.0,
             heat: 0.0,
             homes,
             groups,
@@ -499,6 +504,13 @@
         }
     }
 
+    fn count_tries(&mut self) {
+        let let_in = |proxy: &Proxy| -> f64 {
+            proxy.rates.iter().zip(&self.levels).map(|(rate, level)| rate * level).sum()
+        };
+        self.tries = self.tried.max(self.proxies.values().map(let_in).sum());
+    }
+
     fn close_round(&mut self, _: &mut Orders) {
         if self.last_heard.take().is_some() {
             self.learn();
@@ -513,7 +525,9 @@
     /// Folds the round's sums into the averages. Only good answers teach capacity: errors and refusals
     /// are fast, and would make a failing endpoint look idle.
     fn learn(&mut self) {
-        self.handled += HEAT_GAIN * (self.fleet.good.iter().sum::<f64>() - self.handled);
+        let (good, failed) = (self.fleet.good.iter().sum::<f64>(), self.fleet.failed.iter().sum::<f64>());
+        self.handled += HEAT_GAIN * (good - self.handled);
+        self.tried += HEAT_GAIN * (good + failed - self.tried);
         for e in 0..self.fleet.home.len() {
             let cold = self.ramp(e) < 1.0;
             let fleet = &mut self.fleet;
@@ -675,6 +689,7 @@
     fn split_with(&mut self, step: f64) {
         self.recast = false;
         self.estimate_capacity();
+        self.count_tries();
         let size = self.fleet.home.len();
         for home in 0..self.homes {
             let demand: Vec<f64> = (0..self.groups.len()).map(|group| self.demand(home, group)).collect();
@@ -689,20 +704,31 @@
     }
 
     /// Moves a table towards the split. Lines that come, go or are ramping move at once: a step limit
-    /// would hold load on a cold endpoint or keep a gone one.
+    /// would hold load on a cold endpoint or keep a gone one. A ramping line gets no more of all tries
+    /// than its part of the estimate, however loaded the rest is: under overload or in a cut, a fair
+    /// share pushes it over. It is set against what the stepped lines hold, not what they aim at.
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
         let ramps: Vec<f64> = (0..targets.len()).map(|e| self.ramp(e)).collect();
-        let table = &mut self.tables[table];
-        table.weight.resize(targets.len(), 0.0);
-        table.sent.resize(targets.len(), 0.0);
+        let Pilot { fleet, tables, tries, .. } = self;
+        let Table { weight, sent } = &mut tables[table];
+        weight.resize(targets.len(), 0.0);
+        sent.resize(targets.len(), 0.0);
+        let (mut held, mut aimed) = (0.0, 0.0);
         for (e, &target) in targets.iter().enumerate() {
-            let target = if target < LEAST_LINE { 0.0 } else { target };
-            let weight = &mut table.weight[e];
-            *weight = if target == 0.0 || *weight == 0.0 || ramps[e] < 1.0 {
-                target
-            } else {
-                target.clamp(*weight * (1.0 - step), *weight * (1.0 + step))
-            };
+            if target < LEAST_LINE {
+                weight[e] = 0.0;
+            } else if weight[e] > 0.0 && ramps[e] >= 1.0 {
+                weight[e] = target.clamp(weight[e] * (1.0 - step), weight[e] * (1.0 + step));
+                (held, aimed) = (held + weight[e], aimed + target);
+            }
+        }
+        let scale = if aimed > 0.0 { held / aimed } else { 1.0 };
+        for (e, &target) in targets.iter().enumerate().filter(|(_, target)| **target >= LEAST_LINE) {
+            if ramps[e] < 1.0 {
+                weight[e] = scale * target.min(fleet.capacity[e] / tries.max(f64::MIN_POSITIVE));
+            } else if weight[e] == 0.0 {
+                weight[e] = scale * target;
+            }
         }
     }
 
@@ -730,8 +756,9 @@
 
     fn withdrawn_table(&self) -> Option<usize> {
         (0..self.tables.len()).find(|&table| {
-            let sent = &self.tables[table].sent;
-            let gone = (0..sent.len()).any(|e| sent[e] > 0.0 && !self.usable(e));
+            let Table { weight, sent } = &self.tables[table];
+            let eased = |e: usize| self.ramp(e) < 1.0 && weight[e] < (1.0 - WORTH_PUSHING) * sent[e];
+            let gone = (0..sent.len()).any(|e| sent[e] > 0.0 && (!self.usable(e) || eased(e)));
             let lines = self.lines_worth_pushing(table).len();
             let room = self.queued + self.cost(table, lines) <= QUEUE_PART * self.site.waiting_lines;
             gone && room && self.proxies_of(table).all(|proxy| self.messages_left(proxy, 1.0))
