No further tries for classes under a level

Harm: with one endpoint full and room elsewhere a cut class is refused once too often; a level only stands while the fleet is hot.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -662,7 +662,10 @@
             if group.members.contains(&class) {
                 for home in 0..self.homes {
                     let table = TableId((home * self.groups.len() + place) as u32);
-                    orders.levels.push((table, ClassSet(1 << class), level, Tries::AgainIfNeverRan));
+                    // A jam turns calls away; each would be tried again elsewhere and add to it.
+                    let shedding = self.levels.iter().any(|&level| level < 1.0);
+                    let tries = if shedding { Tries::Once } else { Tries::AgainIfNeverRan };
+                    orders.levels.push((table, ClassSet(1 << class), level, tries));
                 }
             }
         }
