--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,6 +13,11 @@
 const ROUNDS: f64 = 10.0;
 const LEAST_BUSY: f64 = 0.2;
 const SPREAD: f64 = 4.0;
+/// Where crossing zones costs, a zone's flow stays at home up to this load, or this much above the
+/// fleet's; the rest roams over what the residents leave, at least this part of each endpoint.
+const KEEP: f64 = 0.7;
+const EVEN: f64 = 1.1;
+const LEAST_SPARE: f64 = 0.05;
 /// What a comer gets of its estimate at first, to be doubled each round: the design's default.
 const FIRST_PART: f64 = 0.25;
 /// The design's staging: the most a weight moves a round, the least worth a push, the channel's part.
@@ -329,7 +334,7 @@
     pub fn new(site: Deployment) -> Self {
         let confined_class = |class: &usize| site.classes[*class].own_zone;
         let (confined, free): (Vec<_>, Vec<_>) = (0..site.classes.len()).partition(confined_class);
-        let homes = if confined.is_empty() { 1 } else { site.zones };
+        let homes = if confined.is_empty() && site.crossing_price <= 0.0 { 1 } else { site.zones };
         let groups: Vec<Group> = [(free, false), (confined, true)]
             .into_iter()
             .filter(|(members, _)| !members.is_empty())
@@ -350,7 +355,7 @@
             queued_at: Duration::ZERO,
             fleet: Fleet::default(),
             proxies: BTreeMap::new(),
-            splits: (0..homes).map(|_| Split::default()).collect(),
+            splits: (0..=homes).map(|_| Split::default()).collect(),
             tables: vec![Table::default(); homes * groups.len()],
             levels: vec![1.0; site.classes.len()],
             told: vec![if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS }; site.classes.len()],
@@ -694,13 +699,39 @@
         self.estimate_capacity();
         self.count_tries();
         let size = self.fleet.home.len();
-        for home in 0..self.homes {
-            let demand: Vec<f64> = (0..self.groups.len()).map(|group| self.demand(home, group)).collect();
-            let at_home = |e: usize| if self.fleet.home[e] == home { self.fleet.capacity[e] } else { 0.0 };
-            let capacity: Vec<f64> = (0..size).map(at_home).collect();
-            self.splits[home].solve(&demand, &capacity);
-            for group in 0..self.groups.len() {
-                let targets = self.splits[home].gamma[group].clone();
+        let homes = 0..self.homes;
+        let demands: Vec<Vec<f64>> = homes
+            .clone()
+            .map(|home| (0..self.groups.len()).map(|group| self.demand(home, group)).collect())
+            .collect();
+        let capacity = self.fleet.capacity.clone();
+        let load = demands.iter().flatten().sum::<f64>() / capacity.iter().sum::<f64>();
+        let keep = if self.fleet.rounds.iter().any(|&n| n > 0.0) { KEEP } else { 0.0 }.max(EVEN * load);
+        let (mut spare, mut roaming, mut staying) = (capacity.clone(), 0.0, Vec::new());
+        for home in homes.clone() {
+            let at_home = |e: usize| if self.fleet.home[e] == home { capacity[e] } else { 0.0 };
+            let local: Vec<f64> = (0..size).map(at_home).collect();
+            let held = local.iter().sum::<f64>() * keep;
+            let all: f64 = demands[home].iter().sum();
+            let stay = if held >= all { 1.0 } else { held / all };
+            let parts: Vec<f64> = (0..self.groups.len())
+                .map(|group| if self.groups[group].confined { 1.0 } else { stay })
+                .collect();
+            let residents: Vec<f64> = demands[home].iter().zip(&parts).map(|(d, part)| d * part).collect();
+            self.splits[home].solve(&residents, &local);
+            roaming += all - residents.iter().sum::<f64>();
+            for (resident, row) in residents.iter().zip(&self.splits[home].gamma) {
+                (0..size).for_each(|e| spare[e] -= resident * row[e]);
+            }
+            staying.push(parts);
+        }
+        (0..size).for_each(|e| spare[e] = spare[e].max(LEAST_SPARE * capacity[e]));
+        self.splits[self.homes].solve(&[roaming.max(f64::MIN_POSITIVE)], &spare);
+        for home in homes {
+            for (group, part) in staying[home].iter().enumerate() {
+                let (local, far) = (&self.splits[home].gamma[group], &self.splits[self.homes].gamma[0]);
+                let targets: Vec<f64> =
+                    local.iter().zip(far).map(|(local, far)| part * local + (1.0 - part) * far).collect();
                 self.step_table(home * self.groups.len() + group, &targets, step);
             }
         }
