A silent probe confirms only where hardly any call is answered

Told from a hang by good answers still coming. Also covers shared slowness. Harm: a hang that still answers one call in ten stays in.

--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -137,7 +137,8 @@
                 let end = match fields.text("state_code")? {
                     "done" => ProbeEnd::Answered,
                     "busy" | "ecanceled" | "skipped" => ProbeEnd::TurnedAway,
-                    "err" | "etimedout" | "econnrefused" | "econnreset" => ProbeEnd::Failed,
+                    "err" | "econnrefused" | "econnreset" => ProbeEnd::Failed,
+                    "etimedout" => ProbeEnd::Silent,
                     other => return Err(format!("health: unknown state_code '{other}'")),
                 };
                 let endpoint = self.endpoint(fields)?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -119,7 +119,10 @@
     Answered,
     /// Turned away: draining, or probed by too many at once. Says nothing about health.
     TurnedAway,
+    /// Refused, broken off, or answered with an error.
     Failed,
+    /// Nothing came back in time: hung, or only waiting in a queue.
+    Silent,
 }
 
 /// After what a proxy tries another endpoint.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,7 @@
 /// slow at once is nobody's fault), on at least this many failures. Older rounds fade by half.
 const FAILED_PART: f64 = 0.3;
 const FEWEST_FAILED: f64 = 2.0;
+const SILENT_PART: f64 = 0.9;
 const FADE: f64 = 0.5;
 /// Probes that must fail to confirm a suspicion, and be answered in a row to end it; the pause between.
 const STRIKES: f64 = 2.0;
@@ -460,7 +461,12 @@
                 fleet.answers[e] += 1;
                 fleet.strikes[e] = (fleet.strikes[e] - 0.5).max(0.0);
             }
-            ProbeEnd::Failed => {
+            // A probe waits in the same queue as calls do. Where some calls are still answered well,
+            // its silence shows a jam, and shutting out would only move the jam on.
+            ProbeEnd::Silent if fleet.recent_failed[e] < SILENT_PART * fleet.recent[e] => {
+                fleet.answers[e] = 0;
+            }
+            ProbeEnd::Failed | ProbeEnd::Silent => {
                 fleet.answers[e] = 0;
                 fleet.strikes[e] += 1.0;
             }
