--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -80,6 +80,7 @@
         Ok(Listed {
             endpoint: self.endpoint(entry)?,
             zone: self.zone(entry)?,
+            kind: entry.small("shape")?,
             weight: entry.amount("share")?,
             started: started.map(span).transpose()?,
             open,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -95,6 +95,8 @@
 pub struct Listed {
     pub endpoint: EndpointId,
     pub zone: ZoneId,
+    /// The kind of machine, by number.
+    pub kind: u32,
     pub weight: f64,
     /// `None`: long past.
     pub started: Option<Duration>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,6 +17,9 @@
 /// fleet's; the rest roams over what the residents leave, at least this part of each endpoint.
 const KEEP: f64 = 0.7;
 const EVEN: f64 = 1.1;
+/// Of what its ramp allows, the part of all tries that a ramping endpoint may get: neither its capacity
+/// nor the tries to come are known well.
+const CAUTION: f64 = 0.7;
 const LEAST_SPARE: f64 = 0.05;
 /// What a comer gets of its estimate at first, to be doubled each round: the design's default.
 const FIRST_PART: f64 = 0.25;
@@ -214,6 +217,7 @@
 #[derive(Default)]
 struct Fleet {
     home: Vec<usize>,
+    kind: Vec<u32>,
     weight: Vec<f64>,
     open: Vec<bool>,
     started: Vec<Option<Duration>>,
@@ -244,6 +248,7 @@
     fn grow(&mut self, size: usize) {
         let size = size.max(self.home.len());
         self.home.resize(size, 0);
+        self.kind.resize(size, 0);
         self.open.resize(size, false);
         self.out.resize(size, false);
         self.probing.resize(size, false);
@@ -386,6 +391,7 @@
                 fleet.admitted[e] = Some(now);
             }
             fleet.home[e] = if self.homes > 1 { entry.zone.0 as usize } else { 0 };
+            fleet.kind[e] = entry.kind;
             fleet.weight[e] = entry.weight.max(f64::MIN_POSITIVE);
             fleet.started[e] = entry.started;
             fleet.open[e] = entry.open;
@@ -538,7 +544,7 @@
     fn learn(&mut self) {
         let (good, failed) = (self.fleet.good.iter().sum::<f64>(), self.fleet.failed.iter().sum::<f64>());
         self.handled += HEAT_GAIN * (good - self.handled);
-        self.tried += HEAT_GAIN * (good + failed - self.tried);
+        self.tried = (good + failed).max(self.tried + HEAT_GAIN * (good + failed - self.tried));
         for e in 0..self.fleet.home.len() {
             let cold = self.ramp(e) < 1.0;
             let fleet = &mut self.fleet;
@@ -581,14 +587,21 @@
         let heard = |fleet: &Fleet, e: usize| fleet.rounds[e] > 0.0;
         let raw = |fleet: &Fleet, e: usize| fleet.rate[e] / fleet.busy[e];
         let size = self.fleet.home.len();
-        let known: Vec<f64> =
-            (0..size).filter(|&e| heard(&self.fleet, e)).map(|e| raw(&self.fleet, e)).collect();
-        let average = known.iter().sum::<f64>() / known.len() as f64;
+        let mean = |kind: Option<u32>| {
+            let known =
+                (0..size).filter(|&e| heard(&self.fleet, e) && kind.is_none_or(|k| k == self.fleet.kind[e]));
+            let (sum, count) = known.fold((0.0, 0.0), |(sum, n), e| (sum + raw(&self.fleet, e), n + 1.0));
+            (count > 0.0).then_some(sum / count)
+        };
+        let average = mean(None);
+        let kinds: Vec<Option<f64>> = self.fleet.kind.iter().map(|&kind| mean(Some(kind))).collect();
         for e in 0..size {
-            let full = match heard(&self.fleet, e) {
-                _ if known.is_empty() => self.fleet.weight[e],
-                true => raw(&self.fleet, e).clamp(average / SPREAD, average * SPREAD),
-                false => average,
+            let full = match average {
+                None => self.fleet.weight[e],
+                Some(all) if heard(&self.fleet, e) => raw(&self.fleet, e).clamp(all / SPREAD, all * SPREAD),
+                // Unheard: as its kind does, where one of it was heard. A fleet being replaced would
+                // otherwise load its small machines like its large ones.
+                Some(all) => kinds[e].unwrap_or(all),
             };
             self.fleet.capacity[e] = if self.usable(e) { full * self.ramp(e) } else { 0.0 };
         }
@@ -765,7 +778,7 @@
         let scale = if aimed > 0.0 { held / aimed } else { 1.0 };
         for (e, &target) in targets.iter().enumerate().filter(|(_, target)| **target >= LEAST_LINE) {
             if ramps[e] < 1.0 {
-                weight[e] = scale * target.min(fleet.capacity[e] / tries.max(f64::MIN_POSITIVE));
+                weight[e] = scale * target.min(CAUTION * fleet.capacity[e] / tries.max(f64::MIN_POSITIVE));
             } else if weight[e] == 0.0 {
                 weight[e] = scale * target;
             }
