--- a/src/policy.rs
+++ b/src/policy.rs
@@ -306,7 +306,7 @@
     tables: Vec<Table>,
     /// By class: the part that is let in, and the level that proxies were last told.
     levels: Vec<f64>,
-    told: Vec<f64>,
+    told: Vec<(f64, Tries)>,
     /// Good answers a second and busy fraction of the fleet, of the last rounds.
     handled: f64,
     heat: f64,
@@ -350,6 +350,7 @@
                 confined,
             })
             .collect();
+        let all_in = if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS };
         Pilot {
             now: Duration::ZERO,
             asked_for_list: false,
@@ -364,7 +365,7 @@
             splits: (0..=homes).map(|_| Split::default()).collect(),
             tables: vec![Table::default(); homes * groups.len()],
             levels: vec![1.0; site.classes.len()],
-            told: vec![if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS }; site.classes.len()],
+            told: vec![(all_in, Tries::AgainIfNeverRan); site.classes.len()],
             handled: 0.0,
             tries: 0.0,
             tried: 0.0,
@@ -667,11 +668,18 @@
         ALL_CALLS
     }
 
+    /// While anything is refused no call is tried again: a jam turns calls away, and each tried again
+    /// elsewhere adds to it.
+    fn tries_told(&self) -> Tries {
+        let shedding = self.levels.iter().any(|&level| level < 1.0);
+        if shedding { Tries::Once } else { Tries::AgainIfNeverRan }
+    }
+
     /// A class whose level proxies were told too differently; all tables have the same.
     fn moved_level(&self) -> Option<usize> {
         let off = |&class: &usize| {
-            let (level, told) = (self.level_told(class), self.told[class]);
-            (level - told).abs() > LEVEL_STEP * told
+            let (level, (told, tries)) = (self.level_told(class), self.told[class]);
+            (level - told).abs() > LEVEL_STEP * told || tries != self.tries_told()
         };
         let spare = self.proxies.values().all(|proxy| self.messages_left(proxy, ORDINARY_MESSAGES));
         let usable = spare && !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
@@ -680,15 +688,12 @@
 
     fn publish_levels(&mut self, orders: &mut Orders) {
         let Some(class) = self.moved_level() else { return };
-        let level = self.level_told(class);
-        self.told[class] = level;
+        let (level, tries) = (self.level_told(class), self.tries_told());
+        self.told[class] = (level, tries);
         for (place, group) in self.groups.iter().enumerate() {
             if group.members.contains(&class) {
                 for home in 0..self.homes {
                     let table = TableId((home * self.groups.len() + place) as u32);
-                    // A jam turns calls away; each would be tried again elsewhere and add to it.
-                    let shedding = self.levels.iter().any(|&level| level < 1.0);
-                    let tries = if shedding { Tries::Once } else { Tries::AgainIfNeverRan };
                     orders.levels.push((table, ClassSet(1 << class), level, tries));
                 }
             }
