--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,6 +20,8 @@
 /// Of what its ramp allows, the part of all tries that a ramping endpoint may get: neither its capacity
 /// nor the tries to come are known well.
 const CAUTION: f64 = 0.7;
+/// Failed part of all tries from which proxies' shares are no longer the tables'.
+const PILING: f64 = 0.25;
 const LEAST_SPARE: f64 = 0.05;
 /// What a comer gets of its estimate at first, to be doubled each round: the design's default.
 const FIRST_PART: f64 = 0.25;
@@ -313,6 +315,8 @@
     /// Tries a second that the proxies make, or will once what is let in has come to them.
     tries: f64,
     tried: f64,
+    /// The failed part of the last round's tries.
+    failing: f64,
 }
 
 struct Rule {
@@ -369,6 +373,7 @@
             handled: 0.0,
             tries: 0.0,
             tried: 0.0,
+            failing: 0.0,
             heat: 0.0,
             homes,
             groups,
@@ -545,6 +550,7 @@
     fn learn(&mut self) {
         let (good, failed) = (self.fleet.good.iter().sum::<f64>(), self.fleet.failed.iter().sum::<f64>());
         self.handled += HEAT_GAIN * (good - self.handled);
+        self.failing = failed / (good + failed).max(f64::MIN_POSITIVE);
         self.tried = (good + failed).max(self.tried + HEAT_GAIN * (good + failed - self.tried));
         for e in 0..self.fleet.home.len() {
             let cold = self.ramp(e) < 1.0;
@@ -764,10 +770,12 @@
     /// Moves a table towards the split. Lines that come, go or are ramping move at once: a step limit
     /// would hold load on a cold endpoint or keep a gone one. A ramping line gets no more of all tries
     /// than its part of the estimate, however loaded the rest is: under overload or in a cut, a fair
-    /// share pushes it over. It is set against what the stepped lines hold, not what they aim at.
+    /// share pushes it over. It is set against what the stepped lines hold, not what they aim at. When
+    /// many tries fail, further tries and what proxies avoid by themselves pile onto whatever still
+    /// answers, whatever its share: then ramping lines stay out.
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
         let ramps: Vec<f64> = (0..targets.len()).map(|e| self.ramp(e)).collect();
-        let Pilot { fleet, tables, tries, .. } = self;
+        let Pilot { fleet, tables, tries, failing, .. } = self;
         let Table { weight, sent } = &mut tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
@@ -782,7 +790,9 @@
         }
         let scale = if aimed > 0.0 { held / aimed } else { 1.0 };
         for (e, &target) in targets.iter().enumerate().filter(|(_, target)| **target >= LEAST_LINE) {
-            if ramps[e] < 1.0 {
+            if ramps[e] < 1.0 && *failing > PILING && held > 0.0 {
+                weight[e] = 0.0;
+            } else if ramps[e] < 1.0 {
                 weight[e] = scale * target.min(CAUTION * fleet.capacity[e] / tries.max(f64::MIN_POSITIVE));
             } else if weight[e] == 0.0 {
                 weight[e] = scale * target;
