--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,10 +13,9 @@
 const ROUNDS: f64 = 10.0;
 const LEAST_BUSY: f64 = 0.2;
 const SPREAD: f64 = 4.0;
-/// Where crossing zones costs, a zone's flow stays at home up to this load, or this much above the
-/// fleet's; the rest roams over what the residents leave, at least this part of each endpoint.
-const KEEP: f64 = 0.7;
-const EVEN: f64 = 1.1;
+/// Where crossing zones costs, a zone's flow stays at home up to this load, or to the
+/// fleet's own; the rest roams over what the residents leave, at least this part of each endpoint.
+const KEEP: f64 = 0.65;
 /// Of what its ramp allows, the part of all tries that a ramping endpoint may get: neither its capacity
 /// nor the tries to come are known well.
 const CAUTION: f64 = 0.7;
@@ -736,7 +735,7 @@
             .collect();
         let capacity = self.fleet.capacity.clone();
         let load = demands.iter().flatten().sum::<f64>() / capacity.iter().sum::<f64>();
-        let keep = if self.fleet.rounds.iter().any(|&n| n > 0.0) { KEEP } else { 0.0 }.max(EVEN * load);
+        let keep = if self.fleet.rounds.iter().any(|&n| n > 0.0) { KEEP } else { 0.0 }.max(load);
         let (mut spare, mut roaming, mut staying) = (capacity.clone(), 0.0, Vec::new());
         for home in homes.clone() {
             let at_home = |e: usize| if self.fleet.home[e] == home { capacity[e] } else { 0.0 };
