--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -82,6 +82,7 @@
         messages: if unlimited { None } else { Some(domain.small("pushes_allowed")? as usize) },
         messages_span: if unlimited { Duration::ZERO } else { span_field(domain, "messages_over_ms")? },
         start_capacity: rules.amount("start_capacity")?,
+        fall_multiple: rules.amount("fall_multiple")?,
         warm_up: span_field(rules, "warm_up_ms")?,
     };
     let load_fields = report.list("fields")?.iter();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,6 +80,8 @@
     /// Least part of its capacity that an endpoint starts with.
     pub start_capacity: f64,
     pub warm_up: Duration,
+    /// A cold endpoint falls over when sent this many times what it can do.
+    pub fall_multiple: f64,
 }
 
 /// What a report of an endpoint said about its load, as far as it said anything.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,6 +21,8 @@
 const CAUTION: f64 = 0.7;
 /// Failed part of all tries from which proxies' shares are no longer the tables'.
 const PILING: f64 = 0.25;
+/// A ramping endpoint's part may pass the slowest warm-up by what its fall multiple leaves above this.
+const FALL_MARGIN: f64 = 2.0;
 const LEAST_SPARE: f64 = 0.05;
 /// What a comer gets of its estimate at first, to be doubled each round: the design's default.
 const FIRST_PART: f64 = 0.25;
@@ -576,7 +578,10 @@
     fn ramp(&self, e: usize) -> f64 {
         let age = self.fleet.started[e].map_or(self.site.warm_up, |at| self.now.saturating_sub(at));
         let warm = (age.as_secs_f64() / self.site.warm_up.as_secs_f64().max(0.001)).min(1.0);
-        let cold = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
+        let slowest = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
+        let calm = self.heat < HOT && self.failing < PILING / 2.0;
+        let spare = if calm { self.site.fall_multiple / FALL_MARGIN } else { 1.0 };
+        let cold = slowest * spare.max(1.0);
         let since = self.fleet.admitted[e].map_or(f64::INFINITY, |at| (self.now - at).as_secs_f64());
         let doubled = FIRST_PART * (since / self.site.round.as_secs_f64().max(0.001)).floor().exp2();
         cold.min(doubled).min(1.0)
