--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -59,6 +59,7 @@
     let slices = domain.whole("key_ranges")?;
     let unlimited = domain.whole("pushes_allowed")? == 0;
     let deployment = Deployment {
+        pilots: settings.small("balancers")? as usize,
         zones: settings.list("zones")?.len(),
         classes: terms.collect::<Res<_>>()?,
         level_unit: match domain.text("admit")? {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -59,6 +59,7 @@
 /// The figures a pilot is started with.
 #[derive(Clone, Debug)]
 pub struct Deployment {
+    pub pilots: usize,
     pub zones: usize,
     pub classes: Vec<ClassTerms>,
     pub level_unit: LevelUnit,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,6 +42,9 @@
 const REPORT_TAIL: Duration = Duration::from_millis(20);
 /// A proxy's demand follows its reports by this much a round: calls come in bunches.
 const DEMAND_GAIN: f64 = 0.3;
+/// How long a proxy whose stream broke still counts as demand: it goes on sending, and when it is back
+/// what was cut or let in for fewer would be wrong at once.
+const MEMORY: Duration = Duration::from_secs(20);
 /// Suspicion: the failed part of recent tries, above what the better quarter of the fleet shows (all
 /// slow at once is nobody's fault), on at least this many failures. Older rounds fade by half.
 const FAILED_PART: f64 = 0.3;
@@ -270,6 +273,8 @@
 
 struct Proxy {
     home: usize,
+    /// When its stream broke, if it has: it goes on sending by the tables it holds.
+    left: Option<Duration>,
     bound: bool,
     /// Calls a second by class.
     rates: Vec<f64>,
@@ -416,10 +421,12 @@
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
         self.now = now;
         let classes = self.site.classes.len();
+        let rates = self.proxies.remove(&proxy).map(|before| before.rates);
         let state = Proxy {
             home: if self.homes > 1 { zone.0 as usize } else { 0 },
+            left: None,
             bound: false,
-            rates: vec![usual_rate / classes as f64; classes],
+            rates: rates.unwrap_or(vec![usual_rate / classes as f64; classes]),
             messages: VecDeque::new(),
         };
         self.proxies.insert(proxy, state);
@@ -428,7 +435,9 @@
 
     pub fn left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
         self.now = now;
-        self.proxies.remove(&proxy);
+        if let Some(known) = self.proxies.get_mut(&proxy) {
+            (known.left, known.bound) = (Some(now), false);
+        }
         self.settle()
     }
 
@@ -536,6 +545,9 @@
     }
 
     fn close_round(&mut self, _: &mut Orders) {
+        // Where there is another pilot, it takes the proxy over.
+        let (now, memory) = (self.now, if self.site.pilots > 1 { Duration::ZERO } else { MEMORY });
+        self.proxies.retain(|_, proxy| proxy.left.is_none_or(|at| at + memory > now));
         if self.last_heard.take().is_some() {
             self.learn();
             self.estimate_capacity();
@@ -691,7 +703,7 @@
             let (level, (told, tries)) = (self.level_told(class), self.told[class]);
             (level - told).abs() > LEVEL_STEP * told || tries != self.tries_told()
         };
-        let spare = self.proxies.values().all(|proxy| self.messages_left(proxy, ORDINARY_MESSAGES));
+        let spare = self.joined_proxies().all(|proxy| self.messages_left(proxy, ORDINARY_MESSAGES));
         let usable = spare && !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
         (0..self.told.len()).filter(|_| usable).find(off)
     }
@@ -804,6 +816,10 @@
         }
     }
 
+    fn joined_proxies(&self) -> impl Iterator<Item = &Proxy> {
+        self.proxies.values().filter(|proxy| proxy.left.is_none())
+    }
+
     fn proxies_of(&self, table: usize) -> impl Iterator<Item = &Proxy> {
         let home = table / self.groups.len();
         self.proxies.values().filter(move |proxy| proxy.bound && proxy.home == home)
@@ -880,6 +896,7 @@
             let lines: usize = tables.clone().map(|t| self.tables[t].sent.len() + 1).sum();
             let cost = lines as f64 + self.site.lines_per_message;
             !proxy.bound
+                && proxy.left.is_none()
                 && !self.site.sliced
                 && tables.clone().any(|t| self.tables[t].sent.iter().any(|&weight| weight > 0.0))
                 && self.queued + cost <= QUEUE_PART * self.site.waiting_lines
