--- a/src/policy.rs
+++ b/src/policy.rs
@@ -751,7 +751,8 @@
             .map(|home| (0..self.groups.len()).map(|group| self.demand(home, group)).collect())
             .collect();
         let capacity = self.fleet.capacity.clone();
-        let load = demands.iter().flatten().sum::<f64>() / capacity.iter().sum::<f64>();
+        let total: f64 = demands.iter().flatten().sum();
+        let load = total / capacity.iter().sum::<f64>();
         let keep = if self.fleet.rounds.iter().any(|&n| n > 0.0) { KEEP } else { 0.0 }.max(load);
         let (mut spare, mut roaming, mut staying) = (capacity.clone(), 0.0, Vec::new());
         for home in homes.clone() {
@@ -773,14 +774,27 @@
         }
         (0..size).for_each(|e| spare[e] = spare[e].max(LEAST_SPARE * capacity[e]));
         self.splits[self.homes].solve(&[roaming.max(f64::MIN_POSITIVE)], &spare);
+        let far = &self.splits[self.homes].gamma[0];
+        let (mut targets, mut coming) = (Vec::new(), vec![0.0; size]);
         for home in homes {
-            for (group, part) in staying[home].iter().enumerate() {
-                let (local, far) = (&self.splits[home].gamma[group], &self.splits[self.homes].gamma[0]);
-                let targets: Vec<f64> =
-                    local.iter().zip(far).map(|(local, far)| part * local + (1.0 - part) * far).collect();
-                self.step_table(home * self.groups.len() + group, &targets, step);
+            for (group, &part) in staying[home].iter().enumerate() {
+                let local = self.splits[home].gamma[group].iter();
+                let row: Vec<f64> =
+                    local.zip(far).map(|(near, far)| part * near + (1.0 - part) * far).collect();
+                let tries = self.tries * demands[home][group] / total.max(f64::MIN_POSITIVE);
+                coming.iter_mut().zip(&row).for_each(|(sum, share)| *sum += tries * share);
+                targets.push(row);
             }
         }
+        let ease = |e: usize| match self.ramp(e) < 1.0 {
+            true => (CAUTION * capacity[e] / coming[e].max(f64::MIN_POSITIVE)).min(1.0),
+            false => 1.0,
+        };
+        let eased: Vec<f64> = (0..size).map(ease).collect();
+        for (table, mut row) in targets.into_iter().enumerate() {
+            row.iter_mut().zip(&eased).for_each(|(share, part)| *share *= part);
+            self.step_table(table, &row, step);
+        }
     }
 
     /// Moves a table towards the split. Lines that come, go or are ramping move at once: a step limit
@@ -791,7 +805,7 @@
     /// answers, whatever its share: then ramping lines stay out.
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
         let ramps: Vec<f64> = (0..targets.len()).map(|e| self.ramp(e)).collect();
-        let Pilot { fleet, tables, tries, failing, .. } = self;
+        let Pilot { tables, failing, .. } = self;
         let Table { weight, sent } = &mut tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
@@ -809,7 +823,7 @@
             if ramps[e] < 1.0 && *failing > PILING && held > 0.0 {
                 weight[e] = 0.0;
             } else if ramps[e] < 1.0 {
-                weight[e] = scale * target.min(CAUTION * fleet.capacity[e] / tries.max(f64::MIN_POSITIVE));
+                weight[e] = scale * target;
             } else if weight[e] == 0.0 {
                 weight[e] = scale * target;
             }
