Rounds not heard yet count as the kind's mean

Cause: with five rounds heard, one-second counts of a few calls spread a zone's weights threefold. It is the design's ten-round average, with its own rule for unheard endpoints applied to unheard rounds.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -621,10 +621,13 @@
         for e in 0..size {
             let full = match average {
                 None => self.fleet.weight[e],
-                Some(all) if heard(&self.fleet, e) => raw(&self.fleet, e).clamp(all / SPREAD, all * SPREAD),
-                // Unheard: as its kind does, where one of it was heard. A fleet being replaced would
-                // otherwise load its small machines like its large ones.
-                Some(all) => kinds[e].unwrap_or(all),
+                Some(all) => {
+                    // Rounds not heard yet count as the kind's mean, where one of it was heard: few calls
+                    // say little, and a fleet being replaced would load small machines like large ones.
+                    let (n, usual) = (self.fleet.rounds[e], kinds[e].unwrap_or(all));
+                    let heard = if n > 0.0 { raw(&self.fleet, e) } else { usual };
+                    ((n * heard + (ROUNDS - n) * usual) / ROUNDS).clamp(all / SPREAD, all * SPREAD)
+                }
             };
             self.fleet.capacity[e] = if self.usable(e) { full * self.ramp(e) } else { 0.0 };
         }
