Ramping lines leave tables while much of the demand is unheard since it joined

Ramping now means younger than the longest warm-up, also where the steeper ramp has reached the full part.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,7 +19,7 @@
 /// Of what its ramp allows, the part of all tries that a ramping endpoint may get: neither its capacity
 /// nor the tries to come are known well.
 const CAUTION: f64 = 0.7;
-/// Failed part of all tries from which proxies' shares are no longer the tables'.
+/// Failed part of all tries, or unheard part of demand, from which proxies' shares may not be the tables'.
 const PILING: f64 = 0.25;
 /// A ramping endpoint's part may pass the slowest warm-up by what its fall multiple leaves above this.
 const FALL_MARGIN: f64 = 2.0;
@@ -276,6 +276,7 @@
     /// When its stream broke, if it has: it goes on sending by the tables it holds.
     left: Option<Duration>,
     bound: bool,
+    heard: bool,
     /// Calls a second by class.
     rates: Vec<f64>,
     /// When it was sent messages of late.
@@ -426,10 +427,12 @@
             home: if self.homes > 1 { zone.0 as usize } else { 0 },
             left: None,
             bound: false,
+            heard: false,
             rates: rates.unwrap_or(vec![usual_rate / classes as f64; classes]),
             messages: VecDeque::new(),
         };
         self.proxies.insert(proxy, state);
+        self.recast |= (0..self.fleet.open.len()).any(|e| self.usable(e) && self.ramping(e));
         self.settle()
     }
 
@@ -468,6 +471,7 @@
     ) -> Orders {
         self.hear(now);
         if let Some(known) = self.proxies.get_mut(&proxy) {
+            known.heard = true;
             let rate = &mut known.rates[class.0 as usize];
             *rate += DEMAND_GAIN * (calls / span.as_secs_f64().max(0.1) - *rate);
         }
@@ -566,7 +570,7 @@
         self.failing = failed / (good + failed).max(f64::MIN_POSITIVE);
         self.tried = (good + failed).max(self.tried + HEAT_GAIN * (good + failed - self.tried));
         for e in 0..self.fleet.home.len() {
-            let cold = self.ramp(e) < 1.0;
+            let cold = self.ramping(e);
             let fleet = &mut self.fleet;
             let (good, failed) = (fleet.good[e], fleet.failed[e]);
             fleet.recent[e] = fleet.recent[e] * FADE + good + failed;
@@ -584,11 +588,20 @@
         }
     }
 
+    fn age(&self, e: usize) -> Duration {
+        self.fleet.started[e].map_or(Duration::MAX, |at| self.now.saturating_sub(at))
+    }
+
+    /// May still fall over, or is on its way back in.
+    fn ramping(&self, e: usize) -> bool {
+        self.age(e) < self.site.warm_up || self.ramp(e) < 1.0
+    }
+
     /// The part of its capacity that an endpoint may be given: doubling from a quarter as the design
     /// has it, but never more than the slowest warm-up allows. All proxies' load is in the capacity
     /// that is split, so no cold endpoint is sent more than its part however late other pilots act.
     fn ramp(&self, e: usize) -> f64 {
-        let age = self.fleet.started[e].map_or(self.site.warm_up, |at| self.now.saturating_sub(at));
+        let age = self.age(e);
         let warm = (age.as_secs_f64() / self.site.warm_up.as_secs_f64().max(0.001)).min(1.0);
         let slowest = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
         let calm = self.heat < HOT && self.failing < PILING / 2.0;
@@ -789,7 +802,7 @@
                 targets.push(row);
             }
         }
-        let ease = |e: usize| match self.ramp(e) < 1.0 {
+        let ease = |e: usize| match self.ramping(e) {
             true => (CAUTION * capacity[e] / coming[e].max(f64::MIN_POSITIVE)).min(1.0),
             false => 1.0,
         };
@@ -800,32 +813,39 @@
         }
     }
 
+    /// When many tries fail, further tries and what proxies avoid by themselves pile onto whatever still
+    /// answers, whatever its share. What proxies meet that came back and were not heard since may be so.
+    fn piling(&self) -> bool {
+        let part = |pick: fn(&Proxy) -> bool| -> f64 {
+            self.joined_proxies().filter(|proxy| pick(proxy)).flat_map(|proxy| &proxy.rates).sum()
+        };
+        self.failing > PILING || part(|proxy| !proxy.heard) > PILING * part(|_| true)
+    }
+
     /// Moves a table towards the split. Lines that come, go or are ramping move at once: a step limit
     /// would hold load on a cold endpoint or keep a gone one. A ramping line gets no more of all tries
     /// than its part of the estimate, however loaded the rest is: under overload or in a cut, a fair
-    /// share pushes it over. It is set against what the stepped lines hold, not what they aim at. When
-    /// many tries fail, further tries and what proxies avoid by themselves pile onto whatever still
-    /// answers, whatever its share: then ramping lines stay out.
+    /// share pushes it over. It is set against what the stepped lines hold, not what they aim at.
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
-        let ramps: Vec<f64> = (0..targets.len()).map(|e| self.ramp(e)).collect();
-        let Pilot { tables, failing, .. } = self;
-        let Table { weight, sent } = &mut tables[table];
+        let ramping: Vec<bool> = (0..targets.len()).map(|e| self.ramping(e)).collect();
+        let piling = self.piling();
+        let Table { weight, sent } = &mut self.tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
         let (mut held, mut aimed) = (0.0, 0.0);
         for (e, &target) in targets.iter().enumerate() {
             if target < LEAST_LINE {
                 weight[e] = 0.0;
-            } else if weight[e] > 0.0 && ramps[e] >= 1.0 {
+            } else if weight[e] > 0.0 && !ramping[e] {
                 weight[e] = target.clamp(weight[e] * (1.0 - step), weight[e] * (1.0 + step));
                 (held, aimed) = (held + weight[e], aimed + target);
             }
         }
         let scale = if aimed > 0.0 { held / aimed } else { 1.0 };
         for (e, &target) in targets.iter().enumerate().filter(|(_, target)| **target >= LEAST_LINE) {
-            if ramps[e] < 1.0 && *failing > PILING && held > 0.0 {
+            if ramping[e] && piling && held > 0.0 {
                 weight[e] = 0.0;
-            } else if ramps[e] < 1.0 {
+            } else if ramping[e] {
                 weight[e] = scale * target;
             } else if weight[e] == 0.0 {
                 weight[e] = scale * target;
@@ -862,7 +882,7 @@
     fn withdrawn_table(&self) -> Option<usize> {
         (0..self.tables.len()).find(|&table| {
             let Table { weight, sent } = &self.tables[table];
-            let eased = |e: usize| self.ramp(e) < 1.0 && weight[e] < (1.0 - WORTH_PUSHING) * sent[e];
+            let eased = |e: usize| self.ramping(e) && weight[e] < (1.0 - WORTH_PUSHING) * sent[e];
             let gone = (0..sent.len()).any(|e| sent[e] > 0.0 && (!self.usable(e) || eased(e)));
             let lines = self.lines_worth_pushing(table).len();
             let room = self.queued + self.cost(table, lines) <= QUEUE_PART * self.site.waiting_lines;
