--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod interface;
 mod policy;
+mod state;
 
-pub use policy::Pilot;
+pub use state::Pilot;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,167 @@
+//! What a pilot keeps in mind between calls. No decision and no tuned value lives here.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::interface::*;
+use crate::policy::Split;
+
+/// What is known of the endpoints, in parallel arrays under the number of the endpoint.
+#[derive(Default)]
+pub struct Fleet {
+    pub home: Vec<usize>,
+    pub kind: Vec<u32>,
+    pub weight: Vec<f64>,
+    pub open: Vec<bool>,
+    pub started: Vec<Option<Duration>>,
+    /// When it was let in again, by the list or by its probes.
+    pub admitted: Vec<Option<Duration>>,
+    pub out: Vec<bool>,
+    /// This round's sums, by the second: good answers, failed tries, and the good ones' time in all.
+    pub good: Vec<f64>,
+    pub failed: Vec<f64>,
+    pub time: Vec<f64>,
+    pub quietest: Vec<f64>,
+    pub reported: Vec<Option<f64>>,
+    /// Averages over the rounds it was heard in, and how many those were.
+    pub rate: Vec<f64>,
+    pub busy: Vec<f64>,
+    pub rounds: Vec<f64>,
+    pub capacity: Vec<f64>,
+    /// Tries and failures of late, older rounds fading.
+    pub recent: Vec<f64>,
+    pub recent_failed: Vec<f64>,
+    pub strikes: Vec<f64>,
+    pub answers: Vec<u32>,
+    pub probed: Vec<Option<Duration>>,
+    pub probing: Vec<bool>,
+}
+
+impl Fleet {
+    pub fn grow(&mut self, size: usize) {
+        let size = size.max(self.len());
+        self.home.resize(size, 0);
+        self.kind.resize(size, 0);
+        self.answers.resize(size, 0);
+        self.quietest.resize(size, f64::INFINITY);
+        self.reported.resize(size, None);
+        for flags in [&mut self.open, &mut self.out, &mut self.probing] {
+            flags.resize(size, false);
+        }
+        for times in [&mut self.started, &mut self.admitted, &mut self.probed] {
+            times.resize(size, None);
+        }
+        let round = [&mut self.good, &mut self.failed, &mut self.time, &mut self.strikes];
+        let means = [&mut self.rate, &mut self.busy, &mut self.rounds, &mut self.capacity];
+        let others = [&mut self.recent, &mut self.recent_failed, &mut self.weight];
+        for figures in round.into_iter().chain(means).chain(others) {
+            figures.resize(size, 0.0);
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.home.len()
+    }
+
+    pub fn opened(&self) -> impl Iterator<Item = usize> {
+        (0..self.len()).filter(|&e| self.open[e])
+    }
+}
+
+pub struct Proxy {
+    pub home: usize,
+    /// When its stream broke, if it has: it goes on sending by the tables it holds.
+    pub left: Option<Duration>,
+    pub bound: bool,
+    /// Reported on since it joined.
+    pub heard: bool,
+    /// Calls a second by class.
+    pub rates: Vec<f64>,
+    /// When it was sent messages of late.
+    pub messages: VecDeque<Duration>,
+}
+
+impl Proxy {
+    /// Orders of one moment travel as one message.
+    pub fn note_message(&mut self, now: Duration, span: Duration) {
+        if self.messages.back() != Some(&now) {
+            self.messages.push_back(now);
+        }
+        while self.messages.front().is_some_and(|&at| at + span < now) {
+            self.messages.pop_front();
+        }
+    }
+}
+
+/// Classes that may go to the same endpoints, and so make one flow from each home.
+pub struct Group {
+    pub classes: ClassSet,
+    pub members: Vec<usize>,
+    pub confined: bool,
+}
+
+/// By endpoint: the weight it has come to by steps, and the one that proxies were last sent.
+#[derive(Default, Clone)]
+pub struct Table {
+    pub weight: Vec<f64>,
+    pub sent: Vec<f64>,
+}
+
+/// The fleet on the whole, of the last rounds: good answers and tries a second, the busy fraction, and
+/// the failed part of tries in the last round alone.
+#[derive(Default)]
+pub struct State {
+    pub handled: f64,
+    pub tries: f64,
+    pub heat: f64,
+    pub failing: f64,
+}
+
+pub struct Pilot {
+    pub(crate) site: Deployment,
+    pub(crate) now: Duration,
+    pub(crate) ask_for_list_at: Option<Duration>,
+    pub(crate) wake_at: Duration,
+    pub(crate) last_round: Duration,
+    pub(crate) last_heard: Option<Duration>,
+    /// Endpoints or proxies came or went since the last split.
+    pub(crate) recast: bool,
+    /// Lines thought to wait in the channel, as of the time beside it.
+    pub(crate) queued: (f64, Duration),
+    pub(crate) fleet: Fleet,
+    pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
+    pub(crate) homes: usize,
+    pub(crate) groups: Vec<Group>,
+    /// One a home for its residents, and one for what roams.
+    pub(crate) splits: Vec<Split>,
+    /// By home, then by group.
+    pub(crate) tables: Vec<Table>,
+    pub(crate) state: State,
+    /// By class: the part that is let in, and what proxies were last told.
+    pub(crate) levels: Vec<f64>,
+    pub(crate) told: Vec<(f64, Tries)>,
+}
+
+impl Pilot {
+    pub(crate) fn blank(site: Deployment, homes: usize, groups: Vec<Group>, told: Vec<(f64, Tries)>) -> Self {
+        Pilot {
+            now: Duration::ZERO,
+            ask_for_list_at: site.list_on_request.then_some(Duration::ZERO),
+            wake_at: Duration::ZERO,
+            last_round: Duration::ZERO,
+            last_heard: None,
+            recast: false,
+            queued: (0.0, Duration::ZERO),
+            fleet: Fleet::default(),
+            proxies: BTreeMap::new(),
+            splits: (0..=homes).map(|_| Split::default()).collect(),
+            tables: vec![Table::default(); homes * groups.len()],
+            state: State::default(),
+            levels: vec![1.0; told.len()],
+            told,
+            homes,
+            groups,
+            site,
+        }
+    }
+}
