--- a/src/policy.rs
+++ b/src/policy.rs
@@ -578,7 +578,7 @@
         };
         let mut joined = self.joined_proxies();
         let can = !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
-        let can = can && joined.all(|proxy| self.messages_left(proxy, FOR_HASTE));
+        let can = can && joined.all(|proxy| self.messages_left(proxy, FOR_MOVES));
         (0..self.told.len()).filter(|_| can).find(off)
     }
 
