--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -6,7 +6,7 @@
 
 use dahliaroad::Pilot;
 use dahliaroad::interface::{
-    ClassId, EndpointId, Listed, LoadReport, Met, Orders, ProbeEnd, ProxyId, Tries, ZoneId,
+    Came, ClassId, EndpointId, Listed, LoadReport, Met, Orders, ProbeEnd, ProxyId, Tries, ZoneId,
 };
 use serde_json::{Value, json};
 
@@ -130,8 +130,8 @@
                 fields.amount("lost")?;
                 let proxy = ProxyId(fields.small("edge")?);
                 let class = ClassId(below(fields, "kind", self.classes)?);
-                let covered = span(fields.amount("covers_ms")?)?;
-                self.pilot.came(now, proxy, class, fields.amount("total")?, covered)
+                let came = Came { calls: fields.amount("total")?, span: span(fields.amount("covers_ms")?)? };
+                self.pilot.came(now, proxy, class, came)
             }
             "health" => {
                 fields.amount("spent_ms")?;
@@ -147,24 +147,33 @@
                 self.pilot.probed(now, endpoint, end)
             }
             "confirmed" => {
-                (fields.amount("spent_ms")?, fields.small("edge")?, fields.small("rev")?);
+                fields.amount("spent_ms")?;
+                fields.small("edge")?;
+                fields.small("rev")?;
                 Orders::default()
             }
             "whisper" => {
-                (fields.small("src")?, fields.text("octets")?);
+                fields.small("src")?;
+                fields.text("octets")?;
                 Orders::default()
             }
             "custody" => {
-                (self.slice(fields)?, fields.flag("flag")?);
+                self.slice(fields)?;
+                fields.flag("flag")?;
                 Orders::default()
             }
             "recorded" => {
-                (self.slice(fields)?, self.endpoint(fields)?, fields.amount("share")?);
+                self.slice(fields)?;
+                self.endpoint(fields)?;
+                fields.amount("share")?;
                 Orders::default()
             }
             "heat" => {
-                (self.slice(fields)?, below(fields, "kind", self.classes)?);
-                (fields.amount("total")?, fields.amount("lost")?, fields.amount("covers_ms")?);
+                self.slice(fields)?;
+                below(fields, "kind", self.classes)?;
+                for amount in ["total", "lost", "covers_ms"] {
+                    fields.amount(amount)?;
+                }
                 Orders::default()
             }
             _ => return Err(format!("unknown event '{name}'")),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -118,6 +118,13 @@
     pub load: LoadReport,
 }
 
+/// Calls of a class that came to a proxy.
+#[derive(Clone, Copy, Debug)]
+pub struct Came {
+    pub calls: f64,
+    pub span: Duration,
+}
+
 /// How a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeEnd {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,7 +3,6 @@
 //! the types of both, `state.rs` what is kept in mind. After each call the rules in [`RULES`] are gone through, first to last and over
 //! again, until none fires. The design, and where this departs from it, is in `docs/design.md`.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::interface::*;
@@ -91,6 +90,7 @@
 const TAU: f64 = 1.0;
 const STOP: f64 = 0.001;
 const ITERATIONS: usize = 30;
+const HALVINGS: usize = 40;
 /// Each block is solved in units that make its squared coefficients in the constraints sum to this, so
 /// that the proximal term OMEGA holds it: in the paper's units, without its bound on L, the iteration
 /// swings apart (the convergence condition of IV-C asks for OMEGA in proportion to that sum).
@@ -107,53 +107,45 @@
             return;
         }
         // Units again: demand sums to one and capacities average one, so that no step drowns in a scale.
-        let mean = servers.iter().map(|&j| capacity[j]).sum::<f64>() / servers.len() as f64;
+        let (flows, count) = (0..demand.len(), servers.len() as f64);
+        let mean = servers.iter().map(|&j| capacity[j]).sum::<f64>() / count;
         let d = |q: usize, j: usize| demand[q] / total / (capacity[j] / mean);
-        let flows = 0..demand.len();
+        let load = |a: &[Vec<f64>], j: usize| flows.clone().map(|q| a[q][j] * d(q, j)).sum::<f64>();
+        let (prox, prox_l) = (OMEGA / UNIT, OMEGA / UNIT * count);
         for _ in 0..ITERATIONS {
-            let load = |a: &[Vec<f64>], j: usize| flows.clone().map(|q| a[q][j] * d(q, j)).sum::<f64>();
-            let (count, old_l) = (servers.len() as f64, self.l);
-            let (mut pull, mut a, mut gamma) = (0.0, self.a.clone(), self.gamma.clone());
-            let mut delta = self.delta.clone();
-            let held = RHO + OMEGA / UNIT;
+            let (mut a, mut gamma, mut delta) = (self.a.clone(), self.gamma.clone(), self.delta.clone());
+            let mut pull = prox_l * self.l - 1.0;
             for &j in &servers {
                 let now = load(&self.a, j);
                 pull += RHO * (now + self.delta[j]) - self.theta[j];
-                let free = RHO * (old_l - now) + self.theta[j] + OMEGA / UNIT * self.delta[j];
-                delta[j] = (free / held).max(0.0);
+                let slack = RHO * (self.l - now) + self.theta[j] + prox * self.delta[j];
+                delta[j] = (slack / (RHO + prox)).max(0.0);
                 self.server_side(j, &mut a, flows.clone().map(|q| d(q, j)).collect());
             }
-            let held_l = OMEGA / UNIT * count;
-            let l = ((pull + held_l * old_l - 1.0) / (RHO * count + held_l)).max(0.0);
-            for q in flows.clone() {
-                let wish = servers
-                    .iter()
-                    .map(|&j| (RHO * self.a[q][j] + OMEGA / UNIT * self.gamma[q][j] - self.phi[q][j]) / held);
-                let row = on_simplex(&wish.collect::<Vec<_>>());
-                servers.iter().zip(row).for_each(|(&j, part)| gamma[q][j] = part);
+            let l = (pull / (RHO * count + prox_l)).max(0.0);
+            for (q, row) in gamma.iter_mut().enumerate() {
+                let near = |&j: &usize| RHO * self.a[q][j] + prox * self.gamma[q][j] - self.phi[q][j];
+                let wish: Vec<f64> = servers.iter().map(|j| near(j) / (RHO + prox)).collect();
+                servers.iter().zip(on_simplex(&wish)).for_each(|(&j, part)| row[j] = part);
             }
             for &j in &servers {
                 self.theta[j] += TAU * RHO * (l - load(&a, j) - delta[j]);
-                for q in flows.clone() {
-                    self.phi[q][j] += TAU * RHO * (gamma[q][j] - a[q][j]);
-                }
-            }
-            let (mut moved, mut size) = ((l - old_l).powi(2), l * l);
-            for (new, old) in a.iter().zip(&self.a).chain(gamma.iter().zip(&self.gamma)) {
-                for (x, y) in new.iter().zip(old) {
-                    moved += (x - y).powi(2);
-                    size += x * x;
-                }
+                flows.clone().for_each(|q| self.phi[q][j] += TAU * RHO * (gamma[q][j] - a[q][j]));
             }
+            let both = a.iter().zip(&self.a).chain(gamma.iter().zip(&self.gamma));
+            let cells = both.flat_map(|(new, old)| new.iter().zip(old));
+            let (moved, all) = cells.fold(((l - self.l).powi(2), l * l), |(moved, all), (new, old)| {
+                (moved + (new - old).powi(2), all + new * new)
+            });
             (self.l, self.delta, self.a, self.gamma) = (l, delta, a, gamma);
             // While L is held at 0 the rest may stand still before it has begun.
-            if l > 0.0 && moved.sqrt() < STOP * size.sqrt() {
+            if l > 0.0 && moved.sqrt() < STOP * all.sqrt() {
                 break;
             }
         }
     }
 
-    /// One server's side: rises with its own load only, so a search over that load finds it.
+    /// One server's side: its wish falls as its own load rises, so halving finds where they agree.
     fn server_side(&self, j: usize, a: &mut [Vec<f64>], d: Vec<f64>) {
         let omega = OMEGA / UNIT * (1.0 + d.iter().map(|x| x * x).sum::<f64>());
         let wish = |q: usize, load: f64| {
@@ -162,7 +154,7 @@
             ((pull + near) / (RHO + omega)).clamp(0.0, 1.0)
         };
         let (mut low, mut high) = (0.0, d.iter().sum::<f64>());
-        for _ in 0..40 {
+        for _ in 0..HALVINGS {
             let middle = (low + high) / 2.0;
             let load: f64 = (0..d.len()).map(|q| d[q] * wish(q, middle)).sum();
             (low, high) = if load > middle { (middle, high) } else { (low, middle) };
@@ -171,41 +163,32 @@
     }
 
     /// Carries the iterate over to another set of servers: those that left are cleared, comers start in
-    /// proportion to capacity, and the duals keep the sums that they have at every optimum.
+    /// proportion to capacity, and duals and shares get back the sums that they have at every optimum.
     fn fit(&mut self, flows: usize, capacity: &[f64], servers: &[usize]) {
-        let sum: f64 = capacity.iter().sum();
-        let size = capacity.len();
+        let (size, count, sum) = (capacity.len(), servers.len() as f64, capacity.iter().sum::<f64>());
         self.theta.resize(size, 0.0);
         self.delta.resize(size, 0.0);
         for rows in [&mut self.a, &mut self.gamma, &mut self.phi] {
             rows.resize(flows, Vec::new());
             rows.iter_mut().for_each(|row| row.resize(size, 0.0));
         }
-        for (j, &c) in capacity.iter().enumerate() {
-            let (was, is) = (self.theta[j] != 0.0, c > 0.0);
-            if was == is {
-                continue;
-            }
-            let part = if is { c / sum } else { 0.0 };
-            (self.theta[j], self.delta[j]) = (-part, 0.0);
+        let changed = |&j: &usize| (self.theta[j] != 0.0) != (capacity[j] > 0.0);
+        let changed: Vec<usize> = (0..size).filter(changed).collect();
+        for &j in &changed {
+            let comes = if capacity[j] > 0.0 { 1.0 } else { 0.0 };
+            (self.theta[j], self.delta[j]) = (-comes * capacity[j] / sum.max(f64::MIN_POSITIVE), 0.0);
             for q in 0..flows {
-                (self.a[q][j], self.gamma[q][j]) = (part, part);
-                self.phi[q][j] = if is { 1.0 / (flows as f64 * servers.len() as f64) } else { 0.0 };
+                (self.a[q][j], self.gamma[q][j]) = (-self.theta[j], -self.theta[j]);
+                self.phi[q][j] = comes / (flows as f64 * count);
             }
         }
-        let scale = -self.theta.iter().sum::<f64>();
-        if scale > 0.0 {
-            self.theta.iter_mut().for_each(|dual| *dual /= scale);
-        }
-        for row in self.gamma.iter_mut().chain(&mut self.a) {
-            let sum: f64 = row.iter().sum();
-            if sum > 0.0 {
+        if !changed.is_empty() && count > 0.0 {
+            self.l = self.l.max(1.0 / count);
+            for row in self.gamma.iter_mut().chain(&mut self.a).chain([&mut self.theta]) {
+                let sum = row.iter().sum::<f64>().abs().max(f64::MIN_POSITIVE);
                 row.iter_mut().for_each(|part| *part /= sum);
             }
         }
-        if self.l == 0.0 && !servers.is_empty() {
-            self.l = 1.0 / servers.len() as f64;
-        }
     }
 }
 
@@ -271,17 +254,10 @@
 
 impl Pilot {
     pub fn new(site: Deployment) -> Self {
-        let own_zone = |class: &usize| site.classes[*class].own_zone;
-        let (confined, free): (Vec<_>, Vec<_>) = (0..site.classes.len()).partition(own_zone);
-        let homes = if confined.is_empty() && site.crossing_price <= 0.0 { 1 } else { site.zones };
-        let group = |(members, confined): (Vec<usize>, bool)| Group {
-            classes: ClassSet(members.iter().map(|class| 1 << class).sum()),
-            members,
-            confined,
-        };
-        let filled = |(members, _): &(Vec<usize>, bool)| !members.is_empty();
-        let groups: Vec<Group> =
-            [(free, false), (confined, true)].into_iter().filter(filled).map(group).collect();
+        let groups = Group::all(&site.classes);
+        // One origin, as in the paper, unless where a call comes from makes a difference.
+        let anywhere = site.crossing_price <= 0.0 && groups.iter().all(|group| !group.confined);
+        let homes = if anywhere { 1 } else { site.zones };
         let all_in = if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS };
         let told = vec![(all_in, Tries::AgainIfNeverRan); site.classes.len()];
         Pilot::blank(site, homes, groups, told)
@@ -289,23 +265,7 @@
 
     /// The list of endpoints, whole or only what changed.
     pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) -> Orders {
-        let size = entries.iter().map(|entry| entry.endpoint.0 as usize + 1).max().unwrap_or(0);
-        self.fleet.grow(size);
-        let fleet = &mut self.fleet;
-        let first = fleet.opened().next().is_none();
-        if whole {
-            fleet.open.iter_mut().for_each(|open| *open = false);
-        }
-        for entry in entries {
-            let e = entry.endpoint.0 as usize;
-            if entry.open && !first && (fleet.weight[e] == 0.0 || entry.started != fleet.started[e]) {
-                fleet.admitted[e] = Some(now);
-            }
-            fleet.home[e] = if self.homes > 1 { entry.zone.0 as usize } else { 0 };
-            fleet.kind[e] = entry.kind;
-            fleet.weight[e] = entry.weight.max(f64::MIN_POSITIVE);
-            (fleet.started[e], fleet.open[e]) = (entry.started, entry.open);
-        }
+        self.fleet.follow(now, whole, entries, self.homes);
         self.recast = true;
         self.settle(now)
     }
@@ -319,15 +279,9 @@
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
         let classes = self.site.classes.len();
         let before = self.proxies.remove(&proxy).map(|before| before.rates);
-        let state = Proxy {
-            home: if self.homes > 1 { zone.0 as usize } else { 0 },
-            left: None,
-            bound: false,
-            heard: false,
-            rates: before.unwrap_or(vec![usual_rate / classes as f64; classes]),
-            messages: VecDeque::new(),
-        };
-        self.proxies.insert(proxy, state);
+        let rates = before.unwrap_or(vec![usual_rate / classes as f64; classes]);
+        let home = if self.homes > 1 { zone.0 as usize } else { 0 };
+        self.proxies.insert(proxy, Proxy::new(home, rates));
         self.now = now;
         self.recast |= (0..self.fleet.len()).any(|e| self.fleet.usable(e) && self.ramping(e));
         self.settle(now)
@@ -358,19 +312,12 @@
     }
 
     /// Calls of a class that came to a proxy, a second.
-    pub fn came(
-        &mut self,
-        now: Duration,
-        proxy: ProxyId,
-        class: ClassId,
-        calls: f64,
-        span: Duration,
-    ) -> Orders {
+    pub fn came(&mut self, now: Duration, proxy: ProxyId, class: ClassId, came: Came) -> Orders {
         self.last_heard = Some(now);
         if let Some(known) = self.proxies.get_mut(&proxy) {
             known.heard = true;
             let rate = &mut known.rates[class.0 as usize];
-            *rate += DEMAND_GAIN * (calls / span.as_secs_f64().max(LEAST_SPAN) - *rate);
+            *rate += DEMAND_GAIN * (came.calls / came.span.as_secs_f64().max(LEAST_SPAN) - *rate);
         }
         self.settle(now)
     }
@@ -477,10 +424,6 @@
         self.estimate_capacity();
     }
 
-    fn age(&self, e: usize) -> Duration {
-        self.fleet.started[e].map_or(Duration::MAX, |at| self.now.saturating_sub(at))
-    }
-
     /// May still fall over, or is on its way back in.
     fn ramping(&self, e: usize) -> bool {
         self.age(e) < self.site.warm_up || self.ramp(e) < 1.0
@@ -684,15 +627,6 @@
         }
     }
 
-    fn joined_proxies(&self) -> impl Iterator<Item = &Proxy> {
-        self.proxies.values().filter(|proxy| proxy.left.is_none())
-    }
-
-    fn proxies_of(&self, table: usize) -> impl Iterator<Item = &Proxy> {
-        let home = table / self.groups.len();
-        self.proxies.values().filter(move |proxy| proxy.bound && proxy.home == home)
-    }
-
     /// Whether a proxy may get one more message, using up to `part` of what is allowed.
     fn messages_left(&self, proxy: &Proxy, part: f64) -> bool {
         let Some(most) = self.site.messages else { return true };
@@ -747,14 +681,6 @@
         }
     }
 
-    fn note_messages(&mut self, table: usize, lines: usize) {
-        let (now, span, home) = (self.now, self.site.messages_span, table / self.groups.len());
-        for proxy in self.proxies.values_mut().filter(|proxy| proxy.bound && proxy.home == home) {
-            proxy.note_message(now, span);
-            self.queued.0 += lines as f64 + self.site.lines_per_message;
-        }
-    }
-
     fn unbound_proxy(&self) -> Option<usize> {
         let cost = (2 * self.fleet.len() + self.site.classes.len()) as f64 + self.site.lines_per_message;
         let room = self.queued.0 + cost <= QUEUE_PART * self.site.waiting_lines && !self.site.sliced;
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,25 @@
         }
     }
 
+    /// Takes the list over; the first one tells what ran before, a later one what was let in just now.
+    pub fn follow(&mut self, now: Duration, whole: bool, entries: &[Listed], homes: usize) {
+        self.grow(entries.iter().map(|entry| entry.endpoint.0 as usize + 1).max().unwrap_or(0));
+        let first = self.opened().next().is_none();
+        if whole {
+            self.open.fill(false);
+        }
+        for entry in entries {
+            let e = entry.endpoint.0 as usize;
+            if entry.open && !first && (self.weight[e] == 0.0 || entry.started != self.started[e]) {
+                self.admitted[e] = Some(now);
+            }
+            self.home[e] = if homes > 1 { entry.zone.0 as usize } else { 0 };
+            self.kind[e] = entry.kind;
+            self.weight[e] = entry.weight.max(f64::MIN_POSITIVE);
+            (self.started[e], self.open[e]) = (entry.started, entry.open);
+        }
+    }
+
     pub fn len(&self) -> usize {
         self.home.len()
     }
@@ -82,6 +101,10 @@
 }
 
 impl Proxy {
+    pub fn new(home: usize, rates: Vec<f64>) -> Self {
+        Proxy { home, left: None, bound: false, heard: false, rates, messages: VecDeque::new() }
+    }
+
     /// Orders of one moment travel as one message.
     pub fn note_message(&mut self, now: Duration, span: Duration) {
         if self.messages.back() != Some(&now) {
@@ -100,6 +123,17 @@
     pub confined: bool,
 }
 
+impl Group {
+    pub fn all(classes: &[ClassTerms]) -> Vec<Group> {
+        let group = |confined: bool| {
+            let members = (0..classes.len()).filter(|&class| classes[class].own_zone == confined);
+            let members: Vec<usize> = members.collect();
+            Group { classes: ClassSet(members.iter().map(|class| 1 << class).sum()), members, confined }
+        };
+        [false, true].map(group).into_iter().filter(|group| !group.members.is_empty()).collect()
+    }
+}
+
 /// By endpoint: the weight it has come to by steps, and the one that proxies were last sent.
 #[derive(Default, Clone)]
 pub struct Table {
@@ -164,4 +198,25 @@
             site,
         }
     }
+
+    pub(crate) fn age(&self, e: usize) -> Duration {
+        self.fleet.started[e].map_or(Duration::MAX, |at| self.now.saturating_sub(at))
+    }
+
+    pub(crate) fn joined_proxies(&self) -> impl Iterator<Item = &Proxy> {
+        self.proxies.values().filter(|proxy| proxy.left.is_none())
+    }
+
+    pub(crate) fn proxies_of(&self, table: usize) -> impl Iterator<Item = &Proxy> {
+        let home = table / self.groups.len();
+        self.proxies.values().filter(move |proxy| proxy.bound && proxy.home == home)
+    }
+
+    pub(crate) fn note_messages(&mut self, table: usize, lines: usize) {
+        let (now, span, home) = (self.now, self.site.messages_span, table / self.groups.len());
+        for proxy in self.proxies.values_mut().filter(|proxy| proxy.bound && proxy.home == home) {
+            proxy.note_message(now, span);
+            self.queued.0 += lines as f64 + self.site.lines_per_message;
+        }
+    }
 }
