Rescale duals and shares every round

Capacities change each round, not only the servers; the sum of the load duals is -1 at every optimum, so the warm start is put back there.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,8 +12,7 @@
 const ROUNDS: f64 = 10.0;
 const LEAST_BUSY: f64 = 0.2;
 const SPREAD: f64 = 4.0;
-/// Staging, the design's defaults: what a comer gets of its estimate at first, the most a weight moves
-/// a round, the least move worth a push, the channel's part.
+/// Staging, the design's defaults: a comer's first part, most and least move of a weight, channel's part.
 const FIRST_PART: f64 = 0.25;
 const STEP: f64 = 0.2;
 const WORTH_PUSHING: f64 = 0.1;
@@ -25,8 +24,7 @@
 const FOR_HASTE: f64 = 0.8;
 /// Of the lines that may wait, the part that may be filled: our count of what waits is a guess.
 const QUEUE_PART: f64 = 0.8;
-/// How often the rules are looked at when nothing is heard, and how long after the last line of a
-/// report its round is closed.
+/// The pause between looks at the rules, and from a report's last line to the close of its round.
 const TICK: Duration = Duration::from_millis(100);
 const REPORT_TAIL: Duration = Duration::from_millis(20);
 /// No rate is taken over less: a proxy's first report may cover a moment only.
@@ -39,11 +37,9 @@
 /// well), and how far under the fall multiple its ramp must stay while the fleet is calm.
 const CAUTION: f64 = 0.7;
 const FALL_MARGIN: f64 = 2.0;
-/// Failed part of all tries, or unheard part of demand, from which what proxies send may be far from
-/// what tables say.
+/// Failed part of tries, or unheard part of demand, from which proxies may send far from their tables.
 const PILING: f64 = 0.25;
-/// A proxy's demand follows its reports by this much a round (calls come in bunches), the fleet's state
-/// by this much (a jam builds within seconds).
+/// How far a round moves a proxy's demand (calls come in bunches) and the fleet's state (jams build fast).
 const DEMAND_GAIN: f64 = 0.3;
 const STATE_GAIN: f64 = 0.7;
 /// How long a proxy whose stream broke still counts as demand.
@@ -54,8 +50,7 @@
 const FEWEST_FAILED: f64 = 2.0;
 const FADE: f64 = 0.5;
 const SILENT_PART: f64 = 0.9;
-/// Probes that must fail to confirm a suspicion, what an answer takes off, the answers in a row that
-/// end it, the pause between probes, and when one is given up for lost.
+/// Failed probes that confirm, what an answer takes off, answers in a row that end it, and pauses.
 const STRIKES: f64 = 2.0;
 const RELIEF: f64 = 0.5;
 const ANSWERS: u32 = 3;
@@ -63,9 +58,8 @@
 const PROBE_LOST: Duration = Duration::from_secs(3);
 /// The least part of the open endpoints that stays in the tables, whatever the probes say.
 const KEPT_OPEN: f64 = 1.0 / 3.0;
-/// Levels come down when the fleet is this busy and demand passes the target part of capacity; calls
-/// above it would only wait past their goals. The least level keeps a class measurable, and a change
-/// under the least step is not worth a line.
+/// Levels come down when the fleet is this busy and demand passes the target part of capacity: calls
+/// above it would only wait past their goals. The least level keeps a class measurable.
 const HOT: f64 = 0.85;
 const TARGET: f64 = 0.85;
 const LEAST_LEVEL: f64 = 0.02;
@@ -182,8 +176,8 @@
                 self.phi[q][j] = comes / (flows as f64 * count);
             }
         }
-        if !changed.is_empty() && count > 0.0 {
-            self.l = self.l.max(1.0 / count);
+        if count > 0.0 {
+            self.l = if self.l > 0.0 { self.l } else { 1.0 / count };
             for row in self.gamma.iter_mut().chain(&mut self.a).chain([&mut self.theta]) {
                 let sum = row.iter().sum::<f64>().abs().max(f64::MIN_POSITIVE);
                 row.iter_mut().for_each(|part| *part /= sum);
@@ -288,9 +282,8 @@
     }
 
     pub fn left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
-        if let Some(known) = self.proxies.get_mut(&proxy) {
-            (known.left, known.bound) = (Some(now), false);
-        }
+        let known = self.proxies.get_mut(&proxy);
+        known.into_iter().for_each(|known| (known.left, known.bound) = (Some(now), false));
         self.settle(now)
     }
 
