--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::interface::*;
-use crate::state::{Fleet, Group, Pilot, Proxy, Table};
+use crate::state::{Fleet, Group, Pilot, Proxy, Split, Table};
 
 /// Capacity, the design's defaults: rounds averaged over, least busy fraction, factor around the mean.
 const ROUNDS: f64 = 10.0;
@@ -67,18 +67,8 @@
 /// More calls a second than any proxy has: lets all in where levels are rates.
 const ALL_CALLS: f64 = 1e6;
 
-/// The min-max split of flows over servers by proximal Jacobian ADMM, in the paper's letters (IV-B).
-/// `phi` and `theta` are the duals; `gamma` is the flow side, a row a flow, each on the simplex.
-#[derive(Default)]
-pub struct Split {
-    l: f64,
-    delta: Vec<f64>,
-    a: Vec<Vec<f64>>,
-    pub gamma: Vec<Vec<f64>>,
-    theta: Vec<f64>,
-    phi: Vec<Vec<f64>>,
-}
-
+/// The solver, in the paper's letters (IV-B): penalty, proximal factor, dual step, relative change that
+/// ends it, iterations a round, and halvings for one server's side.
 const RHO: f64 = 0.1;
 const OMEGA: f64 = 0.3 * RHO;
 const TAU: f64 = 1.0;
@@ -90,6 +80,7 @@
 /// swings apart (the convergence condition of IV-C asks for OMEGA in proportion to that sum).
 const UNIT: f64 = OMEGA / RHO;
 
+/// The min-max split of flows over servers by proximal Jacobian ADMM.
 impl Split {
     /// Splits the flows' `demand` over servers of the given `capacity`; 0 means the server takes part
     /// in no flow. Starts from the last round's iterate.
@@ -674,29 +665,33 @@
         }
     }
 
+    /// What binding a proxy costs at most: its tables with all lines and levels.
+    fn binding_lines(&self) -> f64 {
+        (self.groups.len() * (self.fleet.len() + 1) + self.site.classes.len()) as f64
+            + self.site.lines_per_message
+    }
+
     fn unbound_proxy(&self) -> Option<usize> {
-        let cost = (2 * self.fleet.len() + self.site.classes.len()) as f64 + self.site.lines_per_message;
-        let room = self.queued.0 + cost <= QUEUE_PART * self.site.waiting_lines && !self.site.sliced;
+        let room = self.queued.0 + self.binding_lines() <= QUEUE_PART * self.site.waiting_lines;
         let waiting = |proxy: &Proxy| {
             let tables = &self.tables[proxy.home * self.groups.len()..][..self.groups.len()];
             let ready = tables.iter().any(|table| table.sent.iter().any(|&weight| weight > 0.0));
-            room && ready && !proxy.bound && proxy.left.is_none()
+            ready && !proxy.bound && proxy.left.is_none()
         };
-        self.proxies.iter().find(|(_, proxy)| waiting(proxy)).map(|(id, _)| id.0 as usize)
+        let able = |_: &(&ProxyId, &Proxy)| room && !self.site.sliced;
+        self.proxies.iter().filter(able).find(|(_, proxy)| waiting(proxy)).map(|(id, _)| id.0 as usize)
     }
 
     fn bind(&mut self, id: usize, orders: &mut Orders) {
+        self.queued.0 += self.binding_lines();
         let id = ProxyId(id as u32);
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
         proxy.bound = true;
         proxy.note_message(self.now, self.site.messages_span);
         for (place, group) in self.groups.iter().enumerate() {
-            let table = proxy.home * self.groups.len() + place;
-            let lines = self.tables[table].sent.iter().filter(|&&weight| weight > 0.0).count();
-            self.queued.0 += lines as f64 + group.members.len() as f64 + 1.0;
-            orders.bindings.push((id, TableId(table as u32), group.classes));
+            let table = TableId((proxy.home * self.groups.len() + place) as u32);
+            orders.bindings.push((id, table, group.classes));
         }
-        self.queued.0 += self.site.lines_per_message;
     }
 
     fn confirmed_bad(&self) -> Option<usize> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,18 @@
 use std::time::Duration;
 
 use crate::interface::*;
-use crate::policy::Split;
+
+/// An iterate of the solver in the paper's letters: `phi` and `theta` are the duals, `gamma` is the flow
+/// side, a row a flow, each on the simplex.
+#[derive(Default)]
+pub struct Split {
+    pub l: f64,
+    pub delta: Vec<f64>,
+    pub a: Vec<Vec<f64>>,
+    pub gamma: Vec<Vec<f64>>,
+    pub theta: Vec<f64>,
+    pub phi: Vec<Vec<f64>>,
+}
 
 /// What is known of the endpoints, in parallel arrays under the number of the endpoint.
 #[derive(Default)]
