--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -68,3 +68,51 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::run;
+
+    const SETTINGS: &str = r#"{"zones":["a"],"classes":[{"on_time_ms":1000,"worth":1}],"balancers":1,
+        "domain":{"admit":"ratio","key_ranges":0,"pushes_allowed":0,"report_every_ms":1000,
+        "lines_per_s":1000,"backlog":1000,"per_message":2},"deductions":{"cross_zone":0},
+        "rules":{"start_capacity":0.2,"warm_up_ms":9000,"fall_multiple":3},"limits":{"probes":true},
+        "report":{"fields":[]},"registry_mode":"pushed","new_key":[1]}"#;
+
+    fn play(lines: &[&str]) -> Result<String, String> {
+        let mut output = Vec::new();
+        run(lines.join("\n").as_bytes(), &mut output)?;
+        Ok(String::from_utf8(output).expect("replies are text"))
+    }
+
+    fn start(who: u32) -> String {
+        let settings = SETTINGS.replace('\n', "");
+        format!(r#"{{"configure":{{"who":{who},"rng_seed":7,"settings":{settings}}}}}"#)
+    }
+
+    #[test]
+    fn a_restart_in_the_batch_of_the_stop_works_and_the_end_is_clean() {
+        let (batch, turn) = (r#"{"batch":{"t_ms":5.5,"serial":3}}"#, r#"{"your_turn":{}}"#);
+        let stop = r#"{"retire":{"who":1}}"#;
+        let due = r#"{"due":{"who":1,"ctx":0}}"#;
+        let output = play(&[batch, &start(1), stop, &start(1), due, turn]).expect("a clean day");
+        assert!(output.contains("wake_me") && output.ends_with("{\"ready\":{\"serial\":3}}\n"));
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_its_place() {
+        let batch = r#"{"batch":{"t_ms":5.5,"serial":3}}"#;
+        let cases = [
+            ("{\"due\":", "line 3: EOF"),
+            (r#"{"due":{"who":1}}"#, "line 3: due: field 'ctx' is missing"),
+            (r#"{"due":{"who":2,"ctx":0}}"#, "line 3: due: instance 2 is not running"),
+            (r#"{"shout":{"who":1}}"#, "line 3: shout: unknown event"),
+            (r#"{"batch":{"t_ms":6,"serial":4}}"#, "line 3: batch: the last batch is still open"),
+            (r#"{"enrolled":{"who":1,"edge":0,"dc":9,"share":1,"flag":true}}"#, "field 'dc': 9"),
+        ];
+        for (line, expected) in cases {
+            let error = play(&[batch, &start(1), line]).expect_err(line);
+            assert!(error.contains(expected), "{error}");
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -25,22 +25,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassSet(pub u64);
 
-/// Whether a call of a class may be sent again after a try that may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeats {
-    Safe,
-    /// A repeat is dropped by every endpoint for this long after the first sending.
-    KeyedEverywhere(Duration),
-    Never,
-}
-
 /// What one class of calls asks for.
 #[derive(Clone, Debug)]
 pub struct ClassTerms {
     pub latency_goal: Duration,
-    pub cut_off: Duration,
     pub value: f64,
-    pub repeats: Repeats,
     /// Only endpoints of the proxy's own zone may take it.
     pub own_zone: bool,
 }
@@ -90,7 +79,6 @@
 pub struct LoadReport {
     /// The part of its cores that is busy.
     pub busy: Option<f64>,
-    pub waiting_calls: Option<f64>,
 }
 
 /// An endpoint as the list has it.
@@ -143,7 +131,6 @@
     Once,
     /// One more, after proof that the first never ran.
     AgainIfNeverRan,
-    AgainAfterAnyFailure,
 }
 
 /// What a pilot orders, to be carried out in the order of the fields and then of their entries.
--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,171 @@
+//! One tiny host for all stories: it keeps what proxies would hold and plays seconds of sums.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dahliaroad::Pilot;
+use dahliaroad::interface::*;
+
+pub const MS: Duration = Duration::from_millis(1);
+
+/// What the proxies met at an endpoint in a second: tries, failures, busy fraction.
+pub type Second = (f64, f64, f64);
+
+pub struct Host {
+    pub pilot: Pilot,
+    pub now: Duration,
+    pub tables: BTreeMap<u32, BTreeMap<u32, f64>>,
+    pub bound: BTreeMap<u32, u32>,
+    pub levels: BTreeMap<u64, (f64, Tries)>,
+    pub probes: Vec<u32>,
+    /// How probes of an endpoint end; the others are answered.
+    pub ends: BTreeMap<u32, ProbeEnd>,
+    pub messages: Vec<(u32, Duration)>,
+    pub asked_for_list: u32,
+}
+
+pub fn deployment() -> Deployment {
+    let class = |goal: u64, value: f64| ClassTerms {
+        latency_goal: Duration::from_secs(goal),
+        value,
+        own_zone: false,
+    };
+    Deployment {
+        pilots: 1,
+        zones: 2,
+        classes: vec![class(2, 1.0), class(1, 2.0)],
+        level_unit: LevelUnit::Share,
+        sliced: false,
+        list_on_request: false,
+        probes_allowed: true,
+        round: Duration::from_secs(1),
+        crossing_price: 0.0,
+        lines_per_second: 10_000.0,
+        waiting_lines: 10_000.0,
+        lines_per_message: 4.0,
+        messages: Some(12),
+        messages_span: Duration::from_secs(10),
+        start_capacity: 0.2,
+        warm_up: Duration::from_secs(10),
+        fall_multiple: 3.0,
+    }
+}
+
+pub fn listed(endpoint: u32, zone: u32) -> Listed {
+    Listed {
+        endpoint: EndpointId(endpoint),
+        zone: ZoneId(zone),
+        kind: 0,
+        weight: 1.0,
+        started: None,
+        open: true,
+    }
+}
+
+impl Host {
+    pub fn new(deployment: Deployment) -> Self {
+        Host {
+            pilot: Pilot::new(deployment),
+            now: Duration::from_secs(100),
+            tables: BTreeMap::new(),
+            bound: BTreeMap::new(),
+            levels: BTreeMap::new(),
+            probes: Vec::new(),
+            ends: BTreeMap::new(),
+            messages: Vec::new(),
+            asked_for_list: 0,
+        }
+    }
+
+    /// `endpoints` alike, by turns in two zones, and a proxy of 20 calls a second in each zone.
+    pub fn running(deployment: Deployment, endpoints: u32) -> Self {
+        let mut host = Host::new(deployment);
+        let list: Vec<Listed> = (0..endpoints).map(|e| listed(e, e % 2)).collect();
+        host.list(true, &list);
+        host.join(0, 0);
+        host.join(1, 1);
+        host
+    }
+
+    pub fn list(&mut self, whole: bool, entries: &[Listed]) {
+        let orders = self.pilot.list(self.now, whole, entries);
+        self.carry_out(orders);
+    }
+
+    pub fn join(&mut self, proxy: u32, zone: u32) {
+        let orders = self.pilot.joined(self.now, ProxyId(proxy), ZoneId(zone), 20.0);
+        self.carry_out(orders);
+    }
+
+    pub fn leave(&mut self, proxy: u32) {
+        self.bound.remove(&proxy);
+        let orders = self.pilot.left(self.now, ProxyId(proxy));
+        self.carry_out(orders);
+    }
+
+    pub fn meet(&mut self, endpoint: u32, second: Second, span: Duration) {
+        let (tries, failed, busy) = second;
+        let met = Met { tries, failed, answer_time: 200 * MS, span, load: LoadReport { busy: Some(busy) } };
+        let orders = self.pilot.met(self.now, EndpointId(endpoint), met);
+        self.carry_out(orders);
+    }
+
+    /// Plays seconds in which proxies 0 and 1 bring `calls` of each class and endpoints are met as said.
+    pub fn seconds(&mut self, count: u32, calls: f64, met: impl Fn(u32) -> Option<Second>) {
+        for _ in 0..count {
+            for _ in 0..10 {
+                self.now += 100 * MS;
+                for probed in std::mem::take(&mut self.probes) {
+                    let end = self.ends.get(&probed).copied().unwrap_or(ProbeEnd::Answered);
+                    let orders = self.pilot.probed(self.now, EndpointId(probed), end);
+                    self.carry_out(orders);
+                }
+                let orders = self.pilot.woken(self.now);
+                self.carry_out(orders);
+            }
+            for endpoint in 0..40 {
+                if let Some(second) = met(endpoint) {
+                    self.meet(endpoint, second, 1000 * MS);
+                }
+            }
+            for (proxy, class) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+                let came = Came { calls, span: 1000 * MS };
+                let orders = self.pilot.came(self.now, ProxyId(proxy), ClassId(class), came);
+                self.carry_out(orders);
+            }
+        }
+    }
+
+    /// The share of a table's calls that go to an endpoint.
+    pub fn share(&self, table: u32, endpoint: u32) -> f64 {
+        let lines = &self.tables[&table];
+        lines.get(&endpoint).copied().unwrap_or(0.0) / lines.values().sum::<f64>()
+    }
+
+    fn carry_out(&mut self, orders: Orders) {
+        let mut reached: Vec<u32> = Vec::new();
+        for (table, endpoint, weight) in orders.weights {
+            assert!(weight.is_finite() && weight >= 0.0, "weight {weight}");
+            let lines = self.tables.entry(table.0).or_default();
+            match weight > 0.0 {
+                true => lines.insert(endpoint.0, weight),
+                false => lines.remove(&endpoint.0),
+            };
+            reached.extend(self.bound.iter().filter(|(_, held)| **held == table.0).map(|(proxy, _)| proxy));
+        }
+        for (table, classes, level, tries) in orders.levels {
+            self.levels.insert(classes.0, (level, tries));
+            reached.extend(self.bound.iter().filter(|(_, held)| **held == table.0).map(|(proxy, _)| proxy));
+        }
+        for (proxy, table, _) in orders.bindings {
+            self.bound.insert(proxy.0, table.0);
+            reached.push(proxy.0);
+        }
+        reached.sort();
+        reached.dedup();
+        self.messages.extend(reached.into_iter().map(|proxy| (proxy, self.now)));
+        self.messages.dedup();
+        self.probes.extend(orders.probes.iter().map(|endpoint| endpoint.0));
+        self.asked_for_list += u32::from(orders.ask_for_list);
+    }
+}
--- /dev/null
+++ b/tests/solver.rs
@@ -0,0 +1,72 @@
+//! The split against optima that are known.
+
+use dahliaroad::Split;
+
+fn loads(split: &Split, demand: &[f64], capacity: &[f64]) -> Vec<f64> {
+    let used = |j: usize| demand.iter().zip(&split.gamma).map(|(d, row)| d * row[j]).sum::<f64>();
+    (0..capacity.len()).filter(|&j| capacity[j] > 0.0).map(|j| used(j) / capacity[j]).collect()
+}
+
+/// Every server may take every flow, so at the optimum all loads are demand over capacity.
+fn check(split: &Split, demand: &[f64], capacity: &[f64]) {
+    let best = demand.iter().sum::<f64>() / capacity.iter().sum::<f64>();
+    for load in loads(split, demand, capacity) {
+        assert!((load / best - 1.0).abs() < 0.03, "load {load}, best {best}");
+    }
+    for row in &split.gamma {
+        assert!((row.iter().sum::<f64>() - 1.0).abs() < 1e-9);
+        assert!(row.iter().all(|part| part.is_finite() && *part >= 0.0));
+    }
+}
+
+fn rounds(split: &mut Split, count: usize, demand: &[f64], capacity: &[f64]) {
+    (0..count).for_each(|_| split.solve(demand, capacity));
+}
+
+#[test]
+fn unequal_servers_take_one_flow_and_several_at_one_load_also_beyond_capacity() {
+    let capacity = [4.0, 9.0, 12.0, 7.5, 2.0];
+    for demand in [&[20.0][..], &[8.0, 12.0], &[30.0, 20.0, 10.0], &[200.0]] {
+        let mut split = Split::default();
+        rounds(&mut split, 1, demand, &capacity);
+        check(&split, demand, &capacity);
+    }
+}
+
+#[test]
+fn capacities_that_change_are_followed_within_rounds() {
+    let mut split = Split::default();
+    rounds(&mut split, 3, &[20.0, 5.0], &[4.0, 9.0, 12.0, 7.5]);
+    let moved = [8.0, 6.0, 12.0, 3.0];
+    rounds(&mut split, 8, &[20.0, 5.0], &moved);
+    check(&split, &[20.0, 5.0], &moved);
+}
+
+#[test]
+fn servers_come_and_go_between_rounds() {
+    let mut split = Split::default();
+    rounds(&mut split, 2, &[20.0], &[4.0, 9.0, 12.0]);
+    rounds(&mut split, 6, &[20.0], &[4.0, 9.0, 12.0, 10.0]);
+    check(&split, &[20.0], &[4.0, 9.0, 12.0, 10.0]);
+    rounds(&mut split, 6, &[20.0], &[4.0, 0.0, 12.0, 10.0]);
+    check(&split, &[20.0], &[4.0, 0.0, 12.0, 10.0]);
+    assert_eq!(split.gamma[0][1], 0.0);
+}
+
+#[test]
+fn one_server_takes_all_and_none_takes_nothing() {
+    let mut split = Split::default();
+    rounds(&mut split, 2, &[20.0], &[0.0, 5.0]);
+    assert_eq!(split.gamma[0], [0.0, 1.0]);
+    rounds(&mut split, 1, &[20.0], &[0.0, 0.0]);
+    assert_eq!(split.gamma[0], [0.0, 0.0]);
+    rounds(&mut split, 1, &[20.0], &[5.0, 0.0]);
+    assert_eq!(split.gamma[0], [1.0, 0.0]);
+}
+
+#[test]
+fn without_demand_the_shares_stand_by_capacity() {
+    let mut split = Split::default();
+    rounds(&mut split, 3, &[0.0], &[3.0, 1.0]);
+    assert!((split.gamma[0][0] - 0.75).abs() < 1e-9);
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,252 @@
+//! One story for each failure met, each against the same tiny host.
+
+mod host;
+
+use std::time::Duration;
+
+use dahliaroad::interface::*;
+use host::{Host, MS, Second, deployment, listed};
+
+const CALM: fn(u32) -> Option<Second> = |e| (e < 6).then_some((10.0, 0.0, 0.5));
+
+fn homes() -> Deployment {
+    Deployment { crossing_price: 0.1, ..deployment() }
+}
+
+#[test]
+fn a_proxy_is_bound_at_once_to_a_table_with_lines() {
+    let host = Host::running(deployment(), 4);
+    assert_eq!(host.bound.len(), 2);
+    assert_eq!(host.tables[&0].len(), 4);
+}
+
+#[test]
+fn a_proxy_that_joins_before_the_list_is_bound_when_it_comes() {
+    let mut host = Host::new(deployment());
+    host.join(0, 0);
+    assert!(host.bound.is_empty());
+    host.list(true, &[listed(0, 0)]);
+    assert_eq!(host.bound[&0], 0);
+}
+
+#[test]
+fn a_drained_and_a_gone_endpoint_leave_every_table_at_once() {
+    let mut host = Host::running(homes(), 6);
+    host.list(false, &[Listed { open: false, ..listed(0, 0) }]);
+    host.list(true, &[2, 3, 4, 5].map(|e| listed(e, e % 2)));
+    for table in host.tables.values() {
+        assert!(!table.contains_key(&0) && !table.contains_key(&1), "{table:?}");
+        assert!(!table.is_empty());
+    }
+}
+
+#[test]
+fn a_home_that_lost_all_its_endpoints_is_served_by_the_others() {
+    let mut host = Host::running(homes(), 6);
+    host.list(true, &[1, 3, 5].map(|e| listed(e, 1)));
+    assert_eq!(host.tables[&0].keys().copied().collect::<Vec<_>>(), [1, 3, 5]);
+}
+
+#[test]
+fn faster_endpoints_get_more_by_small_steps() {
+    let mut host = Host::running(deployment(), 6);
+    let uneven = |e: u32| (e < 6).then_some((10.0, 0.0, if e == 0 { 0.25 } else { 0.5 }));
+    host.seconds(2, 15.0, uneven);
+    let early = host.share(0, 0);
+    assert!(early < 0.25, "{early}");
+    host.seconds(15, 15.0, uneven);
+    let late = host.share(0, 0);
+    assert!((late - 2.0 / 7.0).abs() < 0.04, "{late}");
+}
+
+#[test]
+fn errors_teach_no_capacity() {
+    let mut host = Host::running(Deployment { probes_allowed: false, ..deployment() }, 6);
+    // Fast errors leave endpoint 0 idle, and it would look the fastest of all.
+    host.seconds(15, 15.0, |e| (e < 6).then_some(if e == 0 { (40.0, 36.0, 0.2) } else { (10.0, 0.0, 0.3) }));
+    assert!(host.share(0, 0) <= 1.0 / 6.0 + 0.01, "{}", host.share(0, 0));
+}
+
+#[test]
+fn a_late_report_over_a_long_span_stretches_nothing() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    let before = host.share(0, 0);
+    host.meet(1, (10.0, 0.0, 0.5), 15_000 * MS);
+    host.seconds(3, 15.0, CALM);
+    assert!((host.share(0, 0) - before).abs() < 0.02);
+    assert!(host.levels.values().all(|(level, _)| *level >= 1.0));
+}
+
+#[test]
+fn a_restarted_endpoint_gets_no_more_than_the_slowest_warm_up_bears() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(12, 15.0, CALM);
+    host.list(false, &[Listed { open: false, ..listed(0, 0) }]);
+    host.list(false, &[Listed { started: Some(host.now), ..listed(0, 0) }]);
+    let start = host.share(0, 0);
+    assert!(start > 0.0 && start < 0.2 * 1.5 / 5.0, "{start}");
+    host.seconds(5, 15.0, CALM);
+    let middle = host.share(0, 0);
+    assert!(middle > start && middle < 0.19, "{middle}");
+}
+
+#[test]
+fn a_new_small_machine_is_loaded_like_its_kind() {
+    let mut host = Host::new(deployment());
+    let list: Vec<Listed> = (0..6).map(|e| Listed { kind: e % 2, ..listed(e, 0) }).collect();
+    host.list(true, &list);
+    host.join(0, 0);
+    host.join(1, 0);
+    // Kind 1 needs twice the time for the same calls.
+    let kinds = |e: u32| (e < 6).then_some((10.0, 0.0, if e % 2 == 0 { 0.3 } else { 0.6 }));
+    host.seconds(25, 15.0, kinds);
+    host.list(false, &[Listed { kind: 1, ..listed(6, 0) }]);
+    host.seconds(4, 15.0, kinds);
+    assert!((host.share(0, 6) / host.share(0, 1) - 1.0).abs() < 0.3, "{:?}", host.tables);
+}
+
+#[test]
+fn a_ramping_line_stays_out_while_a_quarter_of_all_tries_fail() {
+    let mut host = Host::running(Deployment { probes_allowed: false, ..deployment() }, 6);
+    host.seconds(10, 15.0, CALM);
+    host.list(false, &[Listed { started: Some(host.now), ..listed(6, 0) }]);
+    assert!(host.share(0, 6) > 0.0);
+    host.seconds(2, 15.0, |e| (e < 6).then_some((10.0, 4.0, 0.9)));
+    assert_eq!(host.share(0, 6), 0.0);
+}
+
+#[test]
+fn proxies_back_from_a_cut_get_no_ramping_line_before_they_are_heard() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    host.leave(0);
+    host.leave(1);
+    host.list(false, &[Listed { started: Some(host.now), ..listed(6, 0) }]);
+    host.join(0, 0);
+    assert_eq!(host.share(0, 6), 0.0);
+}
+
+#[test]
+fn an_endpoint_is_shut_out_when_probes_confirm_the_sums_and_comes_back() {
+    let mut host = Host::running(deployment(), 6);
+    let failing = |e: u32| (e < 6).then_some(if e == 0 { (10.0, 8.0, 0.1) } else { (10.0, 0.0, 0.5) });
+    host.seconds(4, 15.0, failing);
+    assert!(host.share(0, 0) > 0.0, "probes that are answered do not confirm");
+    host.ends.insert(0, ProbeEnd::Failed);
+    host.seconds(3, 15.0, failing);
+    assert_eq!(host.share(0, 0), 0.0);
+    host.ends.clear();
+    host.seconds(8, 15.0, CALM);
+    assert!(host.share(0, 0) > 0.0);
+}
+
+#[test]
+fn a_silent_probe_of_a_jammed_endpoint_confirms_nothing() {
+    let mut host = Host::running(deployment(), 6);
+    host.ends.insert(0, ProbeEnd::Silent);
+    let jammed = |e: u32| (e < 6).then_some(if e == 0 { (10.0, 6.0, 1.0) } else { (10.0, 0.0, 0.5) });
+    host.seconds(6, 15.0, jammed);
+    assert!(host.share(0, 0) > 0.0);
+    let hung = |e: u32| (e < 6).then_some(if e == 0 { (10.0, 10.0, 1.0) } else { (10.0, 0.0, 0.5) });
+    host.seconds(6, 15.0, hung);
+    assert_eq!(host.share(0, 0), 0.0);
+}
+
+#[test]
+fn nobody_is_shut_out_when_all_fail_alike_and_never_all() {
+    let mut host = Host::running(deployment(), 6);
+    host.ends = (0..6).map(|e| (e, ProbeEnd::Failed)).collect();
+    host.seconds(6, 15.0, |e| (e < 6).then_some((10.0, 8.0, 0.5)));
+    assert_eq!(host.tables[&0].len(), 6);
+    host.seconds(10, 15.0, |e| (e < 6).then_some(if e < 4 { (10.0, 10.0, 0.5) } else { (10.0, 0.0, 0.5) }));
+    assert!(host.tables[&0].len() >= 2);
+}
+
+#[test]
+fn overload_cuts_the_class_of_least_value_and_lets_it_in_again() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    host.seconds(6, 45.0, |e| (e < 6).then_some((20.0, 2.0, 1.0)));
+    let ((low, tries), (high, _)) = (host.levels[&1], host.levels[&2]);
+    assert!(low < 0.9 && high == 1.0, "{:?}", host.levels);
+    assert_eq!(tries, Tries::Once, "a jam is not tried again elsewhere");
+    // The refused come again and keep demand up; the endpoints show that there is room.
+    host.seconds(12, 45.0, |e| (e < 6).then_some((16.0, 0.0, 0.4)));
+    assert_eq!(host.levels[&1], (1.0, Tries::AgainIfNeverRan));
+}
+
+#[test]
+fn demand_over_capacity_alone_cuts_nothing() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    host.seconds(6, 90.0, CALM);
+    assert!(host.levels.values().all(|(level, _)| *level >= 1.0));
+}
+
+#[test]
+fn a_cut_does_not_open_the_levels_of_a_lone_pilot() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    let hot: fn(u32) -> Option<Second> = |e| (e < 6).then_some((20.0, 2.0, 1.0));
+    host.seconds(6, 45.0, hot);
+    host.leave(0);
+    host.seconds(1, 45.0, hot);
+    assert!(host.levels[&1].0 < 0.9, "{:?}", host.levels);
+}
+
+#[test]
+fn where_levels_are_rates_the_busiest_proxies_are_cut() {
+    let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
+    host.seconds(10, 15.0, CALM);
+    host.seconds(6, 45.0, |e| (e < 6).then_some((20.0, 2.0, 1.0)));
+    let (rate, _) = host.levels[&1];
+    assert!(rate > 0.0 && rate < 45.0, "{rate}");
+}
+
+#[test]
+fn calls_stay_at_home_until_it_is_full() {
+    let mut host = Host::running(homes(), 6);
+    host.seconds(12, 10.0, CALM);
+    let away = |host: &Host| [1, 3, 5].iter().map(|&e| host.share(0, e)).sum::<f64>();
+    assert_eq!(away(&host), 0.0);
+    host.seconds(12, 15.0, |e| {
+        (e < 6).then_some(if e % 2 == 0 { (10.0, 0.0, 0.95) } else { (5.0, 0.0, 0.2) })
+    });
+    assert!(away(&host) > 0.05, "{}", away(&host));
+}
+
+#[test]
+fn no_proxy_gets_more_messages_than_allowed_whatever_comes() {
+    let mut host = Host::running(deployment(), 8);
+    for second in 0..40 {
+        let swing =
+            move |e: u32| (e < 8).then_some((10.0, 0.0, if (e + second) % 2 == 0 { 0.3 } else { 0.9 }));
+        host.seconds(1, 15.0, swing);
+        let open = second % 2 == 0;
+        host.list(false, &[Listed { open, started: Some(host.now), ..listed(second % 8, 0) }]);
+    }
+    for &(proxy, at) in &host.messages {
+        let within = |&&(other, sent): &&(u32, Duration)| {
+            other == proxy && sent >= at && sent < at + Duration::from_secs(10)
+        };
+        assert!(host.messages.iter().filter(within).count() <= 12);
+    }
+}
+
+#[test]
+fn a_list_on_request_is_asked_for_once_and_again_a_round_after_a_failure() {
+    let mut host = Host::new(Deployment { list_on_request: true, ..deployment() });
+    host.seconds(3, 0.0, |_| None);
+    assert_eq!(host.asked_for_list, 1);
+    host.pilot.list_failed(host.now);
+    host.seconds(3, 0.0, |_| None);
+    assert_eq!(host.asked_for_list, 2);
+}
+
+#[test]
+fn where_tables_belong_to_slices_none_is_ordered() {
+    let mut host = Host::running(Deployment { sliced: true, ..deployment() }, 6);
+    host.seconds(5, 45.0, |e| (e < 6).then_some((20.0, 2.0, 1.0)));
+    assert!(host.tables.is_empty() && host.bound.is_empty() && host.levels.is_empty());
+}
