--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,7 +40,7 @@
 /// Failed part of tries, or unheard part of demand, from which proxies may send far from their tables.
 const PILING: f64 = 0.25;
 /// How far a round moves a proxy's demand (calls come in bunches) and the fleet's state (jams build fast).
-const DEMAND_GAIN: f64 = 0.3;
+const DEMAND_GAIN: f64 = 0.6;
 const STATE_GAIN: f64 = 0.7;
 /// How long a proxy whose stream broke still counts as demand.
 const MEMORY: Duration = Duration::from_secs(20);
