--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,6 +49,9 @@
 const FAILED_PART: f64 = 0.3;
 const FEWEST_FAILED: f64 = 2.0;
 const FADE: f64 = 0.5;
+/// The part of its estimate that a suspected endpoint keeps, to show when it is well again.
+const LEAST_TRUST: f64 = 0.1;
+const IDLE: f64 = 0.5;
 const SILENT_PART: f64 = 0.9;
 /// Failed probes that confirm, what an answer takes off, answers in a row that end it, and pauses.
 const STRIKES: f64 = 2.0;
@@ -220,13 +223,17 @@
         self.open[e] && (!self.out[e] || self.opened().all(|other| self.out[other]))
     }
 
-    /// Fails far more than the better quarter of the fleet: all slow at once is no one's fault.
-    fn suspected(&self, e: usize) -> bool {
+    /// How much more of its tries fails than at the better quarter of the fleet: all slow at once is no
+    /// one's fault.
+    fn failing(&self, e: usize) -> f64 {
         let part = |e: usize| self.recent_failed[e] / self.recent[e].max(1.0);
         let mut parts: Vec<f64> = self.opened().map(part).collect();
         parts.sort_by(f64::total_cmp);
-        let usual = parts.get(parts.len() / 4).copied().unwrap_or(0.0);
-        self.open[e] && self.recent_failed[e] >= FEWEST_FAILED && part(e) > FAILED_PART + usual
+        part(e) - parts.get(parts.len() / 4).copied().unwrap_or(0.0)
+    }
+
+    fn suspected(&self, e: usize) -> bool {
+        self.open[e] && self.recent_failed[e] >= FEWEST_FAILED && self.failing(e) > FAILED_PART
     }
 
     fn mean_capacity(&self, kind: Option<u32>) -> Option<f64> {
@@ -394,7 +401,7 @@
             let (good, failed) = (fleet.good[e], fleet.failed[e]);
             fleet.recent[e] = fleet.recent[e] * FADE + good + failed;
             fleet.recent_failed[e] = fleet.recent_failed[e] * FADE + failed;
-            if good > 0.0 && !ramping {
+            if good > 0.0 && !ramping && !fleet.doubted[e] {
                 let time = (fleet.time[e] / good).max(f64::MIN_POSITIVE);
                 fleet.quietest[e] = fleet.quietest[e].min(time);
                 let waiting = 1.0 - fleet.quietest[e] / time;
@@ -405,6 +412,14 @@
             }
             (fleet.good[e], fleet.failed[e], fleet.time[e]) = (0.0, 0.0, 0.0);
         }
+        for e in 0..self.fleet.len() {
+            let idle = self.fleet.reported[e].is_some_and(|busy| busy < IDLE);
+            let doubted = idle && self.fleet.suspected(e);
+            if self.fleet.doubted[e] && !doubted {
+                self.fleet.admitted[e] = Some(self.now);
+            }
+            self.fleet.doubted[e] = doubted;
+        }
         self.estimate_capacity();
     }
 
@@ -429,8 +444,12 @@
     fn estimate_capacity(&mut self) {
         let average = self.fleet.mean_capacity(None);
         for e in 0..self.fleet.len() {
-            let part = if self.fleet.usable(e) { self.ramp(e) } else { 0.0 };
             let fleet = &self.fleet;
+            let part = if fleet.usable(e) { self.ramp(e) } else { 0.0 };
+            // Where probes do not confirm, as shallow ones never do of errors, a suspected endpoint stays in,
+            // but for the part that it answers: each call more than that is lost.
+            let trust =
+                if fleet.doubted[e] { (1.0 - fleet.failing(e)).powi(2).max(LEAST_TRUST) } else { 1.0 };
             let full = average.map_or(fleet.weight[e], |all| {
                 // Rounds not heard yet count as the kind's mean, where one of it was heard: few calls
                 // say little, and a fleet being replaced would load small machines like large ones.
@@ -439,7 +458,7 @@
                 let heard = if n > 0.0 { fleet.rate[e] / fleet.busy[e] } else { usual };
                 ((n * heard + (ROUNDS - n) * usual) / ROUNDS).clamp(all / SPREAD, all * SPREAD)
             });
-            self.fleet.capacity[e] = full * part;
+            self.fleet.capacity[e] = full * part * trust;
         }
     }
 
@@ -595,11 +614,13 @@
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
         let ramping: Vec<bool> = (0..targets.len()).map(|e| self.ramping(e)).collect();
         let piling = self.piling();
+        let doubted = &self.fleet.doubted;
         let Table { weight, sent } = &mut self.tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
         let (mut held, mut aimed) = (0.0, 0.0);
-        let steady = |e: usize, weight: f64| weight > 0.0 && !ramping[e] && targets[e] >= LEAST_LINE;
+        let steady =
+            |e: usize, weight: f64| weight > 0.0 && !ramping[e] && !doubted[e] && targets[e] >= LEAST_LINE;
         for (e, weight) in weight.iter_mut().enumerate().filter(|(e, weight)| steady(*e, **weight)) {
             *weight = targets[e].clamp(*weight * (1.0 - step), *weight * (1.0 + step));
             (held, aimed) = (held + *weight, aimed + targets[e]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     /// When it was let in again, by the list or by its probes.
     pub admitted: Vec<Option<Duration>>,
     pub out: Vec<bool>,
+    /// Suspected when the last round closed.
+    pub doubted: Vec<bool>,
     /// This round's sums, by the second: good answers, failed tries, and the good ones' time in all.
     pub good: Vec<f64>,
     pub failed: Vec<f64>,
@@ -56,7 +58,7 @@
         self.answers.resize(size, 0);
         self.quietest.resize(size, f64::INFINITY);
         self.reported.resize(size, None);
-        for flags in [&mut self.open, &mut self.out, &mut self.probing] {
+        for flags in [&mut self.open, &mut self.out, &mut self.doubted, &mut self.probing] {
             flags.resize(size, false);
         }
         for times in [&mut self.started, &mut self.admitted, &mut self.probed] {
