Levels also begin when a quarter of tries fail at high load

Also covers hangs and losses at high load. Harm: errors of the calls themselves would cut calls, if load is high too.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -477,7 +477,8 @@
         let (sum, busy) = said.fold((0.0, 0.0), |(sum, busy), (c, said)| (sum + c, busy + c * said));
         let heat = if sum > 0.0 { busy / sum } else { load };
         self.state.heat += STATE_GAIN * (heat - self.state.heat);
-        let over = self.shedding() || (load > TARGET && self.state.heat > HOT);
+        let pressed = self.state.heat > HOT || self.state.failing > PILING;
+        let over = self.shedding() || (load > TARGET && pressed);
         let shown = self.state.handled / self.state.heat.max(LEAST_BUSY);
         let mut room = if over { TARGET * capacity.max(shown) } else { f64::INFINITY };
         let worth = |c: usize| classes[c].value / classes[c].latency_goal.as_secs_f64().max(LEAST_SPAN);
