--- a/src/policy.rs
+++ b/src/policy.rs
@@ -399,6 +399,8 @@
             let ramping = self.ramping(e);
             let fleet = &mut self.fleet;
             let (good, failed) = (fleet.good[e], fleet.failed[e]);
+            // What was said before does not show the heat of now.
+            fleet.reported[e] = fleet.reported[e].filter(|_| good + failed > 0.0);
             fleet.recent[e] = fleet.recent[e] * FADE + good + failed;
             fleet.recent_failed[e] = fleet.recent_failed[e] * FADE + failed;
             if good > 0.0 && !ramping && !fleet.doubted[e] {
@@ -477,7 +479,7 @@
         let (sum, busy) = said.fold((0.0, 0.0), |(sum, busy), (c, said)| (sum + c, busy + c * said));
         let heat = if sum > 0.0 { busy / sum } else { load };
         self.state.heat += STATE_GAIN * (heat - self.state.heat);
-        let pressed = self.state.heat > HOT || self.state.failing > PILING;
+        let pressed = self.state.heat > HOT || self.state.failing > PILING / 2.0;
         let over = self.shedding() || (load > TARGET && pressed);
         let shown = self.state.handled / self.state.heat.max(LEAST_BUSY);
         let mut room = if over { TARGET * capacity.max(shown) } else { f64::INFINITY };
