--- a/src/policy.rs
+++ b/src/policy.rs
@@ -211,7 +211,6 @@
     Rule { when: |pilot| pilot.recast.then_some(0), then: |pilot, _, _| pilot.split(0.0) },
     Rule { when: Pilot::withdrawn_table, then: Pilot::publish },
     Rule { when: Pilot::unbound_proxy, then: Pilot::bind },
-    Rule { when: Pilot::moved_level, then: Pilot::publish_level },
     Rule { when: Pilot::moved_table, then: Pilot::publish },
     Rule { when: Pilot::probe_due, then: Pilot::probe },
     Rule { when: |pilot| (pilot.wake_at <= pilot.now).then_some(0), then: Pilot::ask_to_be_woken },
@@ -519,27 +518,15 @@
         (ALL_CALLS, tries)
     }
 
-    /// A class whose level proxies were told too differently; all tables have the same.
-    fn moved_level(&self) -> Option<usize> {
+    /// The classes of a table whose level its proxies were told too differently.
+    fn levels_worth_telling(&self, table: usize) -> Vec<usize> {
+        let can = !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
         let off = |&class: &usize| {
-            let ((level, tries), (told, tries_told)) = (self.telling(class), self.told[class]);
+            let ((level, tries), (told, tries_told)) = (self.telling(class), self.tables[table].told[class]);
             (level - told).abs() > LEVEL_STEP * told || tries != tries_told
         };
-        let mut joined = self.joined_proxies();
-        let can = !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
-        let can = can && joined.all(|proxy| self.messages_left(proxy, FOR_MOVES));
-        (0..self.told.len()).filter(|_| can).find(off)
-    }
-
-    fn publish_level(&mut self, class: usize, orders: &mut Orders) {
-        let (level, tries) = self.telling(class);
-        self.told[class] = (level, tries);
-        for table in 0..self.tables.len() {
-            if self.groups[table % self.groups.len()].members.contains(&class) {
-                orders.levels.push((TableId(table as u32), ClassSet(1 << class), level, tries));
-                self.note_messages(table, 1);
-            }
-        }
+        let members = &self.groups[table % self.groups.len()].members;
+        members.iter().copied().filter(|_| can).filter(off).collect()
     }
 
     /// Splits each home's flows over its own endpoints as far as they go, and what they do not hold
@@ -618,7 +605,7 @@
         let ramping: Vec<bool> = (0..targets.len()).map(|e| self.ramping(e)).collect();
         let piling = self.piling();
         let doubted = &self.fleet.doubted;
-        let Table { weight, sent } = &mut self.tables[table];
+        let Table { weight, sent, .. } = &mut self.tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
         let (mut held, mut aimed) = (0.0, 0.0);
@@ -643,7 +630,7 @@
     }
 
     fn lines_worth_pushing(&self, table: usize) -> Vec<usize> {
-        let Table { weight, sent } = &self.tables[table];
+        let Table { weight, sent, .. } = &self.tables[table];
         let worth = |&e: &usize| (weight[e] - sent[e]).abs() > WORTH_PUSHING * sent[e];
         (0..weight.len()).filter(worth).collect()
     }
@@ -651,7 +638,8 @@
     /// Whether a push of what moved in a table fits: into the messages of its proxies, and with what
     /// waits into so many lines.
     fn fits(&self, table: usize, messages: f64, lines: f64) -> bool {
-        let moved = self.lines_worth_pushing(table).len() as f64 + self.site.lines_per_message;
+        let lines_moved = self.lines_worth_pushing(table).len() + self.levels_worth_telling(table).len();
+        let moved = lines_moved as f64 + self.site.lines_per_message;
         let cost = self.proxies_of(table).count() as f64 * moved;
         self.queued.0 + cost <= lines
             && self.proxies_of(table).all(|proxy| self.messages_left(proxy, messages))
@@ -660,7 +648,7 @@
     /// A table with a line to an endpoint that is gone, or that ramps with too much.
     fn withdrawn_table(&self) -> Option<usize> {
         (0..self.tables.len()).find(|&table| {
-            let Table { weight, sent } = &self.tables[table];
+            let Table { weight, sent, .. } = &self.tables[table];
             let eased = |e: usize| self.ramping(e) && weight[e] < (1.0 - WORTH_PUSHING) * sent[e];
             let gone = (0..sent.len()).any(|e| sent[e] > 0.0 && !self.fleet.usable(e));
             let messages = if gone { 1.0 } else { FOR_HASTE };
@@ -672,14 +660,17 @@
     fn moved_table(&self) -> Option<usize> {
         let lines = self.site.lines_per_second * CHANNEL_PART;
         let moved = |&table: &usize| {
-            !self.lines_worth_pushing(table).is_empty() && self.fits(table, FOR_MOVES, lines)
+            let moves = !self.lines_worth_pushing(table).is_empty();
+            let tells = !self.levels_worth_telling(table).is_empty();
+            (moves && self.fits(table, FOR_MOVES, lines)) || (tells && self.fits(table, FOR_HASTE, lines))
         };
         (0..self.tables.len()).filter(|_| !self.site.sliced).find(moved)
     }
 
+    /// All that has changed in a table goes at once: a message costs more than its lines.
     fn publish(&mut self, table: usize, orders: &mut Orders) {
-        let mut lines = self.lines_worth_pushing(table);
-        self.note_messages(table, lines.len());
+        let (mut lines, levels) = (self.lines_worth_pushing(table), self.levels_worth_telling(table));
+        self.note_messages(table, lines.len() + levels.len());
         // What leaves goes first, so that its share moves before anything else does.
         lines.sort_by_key(|&e| self.tables[table].weight[e] > 0.0);
         for e in lines {
@@ -687,6 +678,11 @@
             orders.weights.push((TableId(table as u32), EndpointId(e as u32), weight));
             self.tables[table].sent[e] = weight;
         }
+        for class in levels {
+            let (level, tries) = self.telling(class);
+            orders.levels.push((TableId(table as u32), ClassSet(1 << class), level, tries));
+            self.tables[table].told[class] = (level, tries);
+        }
     }
 
     /// What binding a proxy costs at most: its tables with all lines and levels.
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,11 +147,13 @@
     }
 }
 
-/// By endpoint: the weight it has come to by steps, and the one that proxies were last sent.
+/// By endpoint: the weight it has come to by steps, and the one that proxies were last sent. By class:
+/// the level and the way of trying again that they were last told.
 #[derive(Default, Clone)]
 pub struct Table {
     pub weight: Vec<f64>,
     pub sent: Vec<f64>,
+    pub told: Vec<(f64, Tries)>,
 }
 
 /// The fleet on the whole, of the last rounds: good answers and tries a second, the busy fraction, and
@@ -184,9 +186,8 @@
     /// By home, then by group.
     pub(crate) tables: Vec<Table>,
     pub(crate) state: State,
-    /// By class: the part that is let in, and what proxies were last told.
+    /// By class: the part that is let in.
     pub(crate) levels: Vec<f64>,
-    pub(crate) told: Vec<(f64, Tries)>,
 }
 
 impl Pilot {
@@ -202,10 +203,9 @@
             fleet: Fleet::default(),
             proxies: BTreeMap::new(),
             splits: (0..=homes).map(|_| Split::default()).collect(),
-            tables: vec![Table::default(); homes * groups.len()],
+            tables: vec![Table { told: told.clone(), ..Table::default() }; homes * groups.len()],
             state: State::default(),
             levels: vec![1.0; told.len()],
-            told,
             homes,
             groups,
             site,
