--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
 const FOR_HASTE: f64 = 0.8;
 /// Of the lines that may wait, the part that may be filled: our count of what waits is a guess.
 const QUEUE_PART: f64 = 0.8;
-/// The pause between looks at the rules, and from a report's last line to the close of its round.
+/// The pause between looks at the rules, and from a report's last line to its round's close.
 const TICK: Duration = Duration::from_millis(100);
 const REPORT_TAIL: Duration = Duration::from_millis(20);
 /// No rate is taken over less: a proxy's first report may cover a moment only.
@@ -37,7 +37,7 @@
 /// well), and how far under the fall multiple its ramp must stay while the fleet is calm.
 const CAUTION: f64 = 0.7;
 const FALL_MARGIN: f64 = 2.0;
-/// Failed part of tries, or unheard part of demand, from which proxies may send far from their tables.
+/// Failed part of tries, or unheard part of demand, from which proxies may stray from their tables.
 const PILING: f64 = 0.25;
 /// How far a round moves a proxy's demand (calls come in bunches) and the fleet's state (jams build fast).
 const DEMAND_GAIN: f64 = 0.6;
@@ -53,9 +53,8 @@
 const LEAST_TRUST: f64 = 0.1;
 const IDLE: f64 = 0.5;
 const SILENT_PART: f64 = 0.9;
-/// Failed probes that confirm, what an answer takes off, answers in a row that end it, and pauses.
+/// Failed probes that confirm (an answer halves their count), answers in a row that end it, and pauses.
 const STRIKES: f64 = 2.0;
-const RELIEF: f64 = 0.5;
 const ANSWERS: u32 = 3;
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 const PROBE_LOST: Duration = Duration::from_secs(3);
@@ -188,14 +187,12 @@
     for (place, part) in sorted.iter().enumerate() {
         sum += part;
         let here = (sum - 1.0) / (place + 1) as f64;
-        if part - here > 0.0 {
-            cut = here;
-        }
+        cut = if *part > here { here } else { cut };
     }
     wish.iter().map(|part| (part - cut).max(0.0)).collect()
 }
 
-/// What the condition finds, the effect deals with; a condition without a subject finds 0.
+/// The effect deals with what the condition finds; a condition without a subject finds 0.
 struct Rule {
     when: fn(&Pilot) -> Option<usize>,
     then: fn(&mut Pilot, usize, &mut Orders),
@@ -204,16 +201,16 @@
 /// In order: what the list says, what the sums and probes say, then the tables from the most urgent
 /// change to the least, and last what is needed to be called again.
 const RULES: &[Rule] = &[
-    Rule { when: Pilot::list_unasked, then: Pilot::ask_for_list },
+    Rule { when: |p| p.ask_for_list_at.filter(|at| *at <= p.now).map(|_| 0), then: Pilot::ask_for_list },
     Rule { when: Pilot::round_due, then: Pilot::close_round },
     Rule { when: Pilot::confirmed_bad, then: Pilot::shut_out },
     Rule { when: Pilot::confirmed_good, then: Pilot::let_in },
-    Rule { when: |pilot| pilot.recast.then_some(0), then: |pilot, _, _| pilot.split(0.0) },
+    Rule { when: |p| p.recast.then_some(0), then: |p, _, _| p.split(0.0) },
     Rule { when: Pilot::withdrawn_table, then: Pilot::publish },
     Rule { when: Pilot::unbound_proxy, then: Pilot::bind },
     Rule { when: Pilot::moved_table, then: Pilot::publish },
     Rule { when: Pilot::probe_due, then: Pilot::probe },
-    Rule { when: |pilot| (pilot.wake_at <= pilot.now).then_some(0), then: Pilot::ask_to_be_woken },
+    Rule { when: |p| (p.wake_at <= p.now).then_some(0), then: Pilot::ask_to_be_woken },
 ];
 
 impl Fleet {
@@ -222,8 +219,7 @@
         self.open[e] && (!self.out[e] || self.opened().all(|other| self.out[other]))
     }
 
-    /// How much more of its tries fails than at the better quarter of the fleet: all slow at once is no
-    /// one's fault.
+    /// Failed part of tries above the better quarter's: what all do at once is no one's fault.
     fn failing(&self, e: usize) -> f64 {
         let part = |e: usize| self.recent_failed[e] / self.recent[e].max(1.0);
         let mut parts: Vec<f64> = self.opened().map(part).collect();
@@ -234,13 +230,6 @@
     fn suspected(&self, e: usize) -> bool {
         self.open[e] && self.recent_failed[e] >= FEWEST_FAILED && self.failing(e) > FAILED_PART
     }
-
-    fn mean_capacity(&self, kind: Option<u32>) -> Option<f64> {
-        let known = |&e: &usize| self.rounds[e] > 0.0 && kind.is_none_or(|kind| kind == self.kind[e]);
-        let known = (0..self.len()).filter(known).map(|e| self.rate[e] / self.busy[e]);
-        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), c| (sum + c, count + 1.0));
-        (count > 0.0).then_some(sum / count)
-    }
 }
 
 impl Pilot {
@@ -322,7 +311,7 @@
             ProbeEnd::TurnedAway => {}
             ProbeEnd::Answered => {
                 fleet.answers[e] += 1;
-                fleet.strikes[e] = (fleet.strikes[e] - RELIEF).max(0.0);
+                fleet.strikes[e] *= FADE;
             }
             ProbeEnd::Failed | ProbeEnd::Silent => {
                 fleet.answers[e] = 0;
@@ -339,19 +328,13 @@
     fn settle(&mut self, now: Duration) -> Orders {
         let mut orders = Orders::default();
         self.now = now;
-        let (queued, since) = self.queued;
-        let sent = now.saturating_sub(since).as_secs_f64() * self.site.lines_per_second * CHANNEL_PART;
-        self.queued = ((queued - sent).max(0.0), now);
+        self.let_queue_drain(self.site.lines_per_second * CHANNEL_PART);
         while let Some((rule, subject)) = RULES.iter().find_map(|rule| Some((rule, (rule.when)(self)?))) {
             (rule.then)(self, subject, &mut orders);
         }
         orders
     }
 
-    fn list_unasked(&self) -> Option<usize> {
-        self.ask_for_list_at.filter(|&at| at <= self.now).map(|_| 0)
-    }
-
     fn ask_for_list(&mut self, _: usize, orders: &mut Orders) {
         self.ask_for_list_at = None;
         orders.ask_for_list = true;
@@ -391,7 +374,6 @@
         let (good, failed) = (self.fleet.good.iter().sum::<f64>(), self.fleet.failed.iter().sum::<f64>());
         self.state.handled += STATE_GAIN * (good - self.state.handled);
         self.state.failing = failed / (good + failed).max(f64::MIN_POSITIVE);
-        // Tries rise within a round when a jam begins; they are believed at once going up.
         let tries = good + failed;
         self.state.tries = tries.max(self.state.tries + STATE_GAIN * (tries - self.state.tries));
         for e in 0..self.fleet.len() {
@@ -429,9 +411,9 @@
         self.age(e) < self.site.warm_up || self.ramp(e) < 1.0
     }
 
-    /// The part of its capacity that an endpoint may be given: doubling from a quarter as the design
-    /// has it, but never more than the slowest warm-up allows, or, in a calm fleet, than what stays
-    /// well under the fall multiple: the slowest warm-up leaves a faster one idle for long.
+    /// The part of its capacity that an endpoint may be given: doubling from a quarter as in the design,
+    /// but within the slowest warm-up, or, in a calm fleet, well under the fall multiple: the slowest
+    /// leaves a faster one idle for long.
     fn ramp(&self, e: usize) -> f64 {
         let warm = (self.age(e).as_secs_f64() / self.site.warm_up.as_secs_f64().max(LEAST_SPAN)).min(1.0);
         let slowest = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
@@ -463,11 +445,10 @@
         }
     }
 
-    /// Under overload, lets in what capacity allows, the class with most value for its work first; the
-    /// latency goal is the only hint of a call's work. Demand above capacity is not proof: refused
-    /// clients that come again count as demand, and after a cut the demand of comers is known before
-    /// the capacity they bring. So the endpoints must be hot to begin with, and what they handle now at
-    /// the heat they show raises the estimate when the average is behind.
+    /// Under overload, lets in what capacity allows, the class with most value for its latency goal (the
+    /// only hint of its work) first. Demand above capacity is no proof: the refused come again, and after
+    /// a cut demand is known before the capacity that comes with it. So endpoints must be hot or failing
+    /// to begin with, and what they handle at the heat they show raises an average that is behind.
     fn set_levels(&mut self) {
         let (classes, fleet) = (&self.site.classes, &self.fleet);
         let rate = |class: usize| self.proxies.values().map(|proxy| proxy.rates[class]).sum::<f64>();
@@ -502,8 +483,10 @@
     fn telling(&self, class: usize) -> (f64, Tries) {
         let tries = if self.shedding() { Tries::Once } else { Tries::AgainIfNeverRan };
         let level = self.levels[class];
-        if self.site.level_unit == LevelUnit::Share {
-            return (level, tries);
+        match self.site.level_unit {
+            LevelUnit::Share => return (level, tries),
+            LevelUnit::Ignored => return (ALL_CALLS, tries),
+            LevelUnit::CallsPerSecond => {}
         }
         let mut rates: Vec<f64> = self.proxies.values().map(|proxy| proxy.rates[class]).collect();
         rates.sort_by(f64::total_cmp);
@@ -520,13 +503,12 @@
 
     /// The classes of a table whose level its proxies were told too differently.
     fn levels_worth_telling(&self, table: usize) -> Vec<usize> {
-        let can = !self.site.sliced && self.site.level_unit != LevelUnit::Ignored;
         let off = |&class: &usize| {
             let ((level, tries), (told, tries_told)) = (self.telling(class), self.tables[table].told[class]);
             (level - told).abs() > LEVEL_STEP * told || tries != tries_told
         };
         let members = &self.groups[table % self.groups.len()].members;
-        members.iter().copied().filter(|_| can).filter(off).collect()
+        members.iter().copied().filter(off).collect()
     }
 
     /// Splits each home's flows over its own endpoints as far as they go, and what they do not hold
@@ -574,9 +556,8 @@
         }
     }
 
-    /// A ramping endpoint gets no more of all tries than its part of the estimate, however loaded the
-    /// rest is: under overload or in a cut, a fair share pushes it over. Tries are those made, or to be
-    /// made once what is let in has come.
+    /// A ramping endpoint gets no more of all tries, made or let in, than its part of the estimate: under
+    /// overload or in a cut, its fair share would push it over.
     fn ease(&self, rows: &mut [Vec<f64>], demands: &[f64]) {
         let let_in =
             |proxy: &Proxy| -> f64 { proxy.rates.iter().zip(&self.levels).map(|(r, l)| r * l).sum() };
@@ -598,9 +579,8 @@
         self.state.failing > PILING || part(|proxy| !proxy.heard) > PILING * part(|_| true)
     }
 
-    /// Moves a table towards the split. Lines that come, go or are ramping move at once: a step limit
-    /// would hold load on a cold endpoint or keep a gone one. They are set against what the stepped
-    /// lines hold, not what those aim at. A table never goes empty for the sake of a ramping line.
+    /// Moves a table towards the split. Lines that come, go, ramp or are doubted move at once: steps would
+    /// hold load on a cold endpoint. They are set against what stepped lines hold; no table goes empty.
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64) {
         let ramping: Vec<bool> = (0..targets.len()).map(|e| self.ramping(e)).collect();
         let piling = self.piling();
@@ -624,9 +604,8 @@
 
     /// Whether a proxy may get one more message, using up to `part` of what is allowed.
     fn messages_left(&self, proxy: &Proxy, part: f64) -> bool {
-        let Some(most) = self.site.messages else { return true };
-        let recent = |at: &&Duration| **at + self.site.messages_span >= self.now;
-        (proxy.messages.iter().filter(recent).count() as f64) < (most as f64 * part).floor()
+        let sent = proxy.messages_since(self.now.saturating_sub(self.site.messages_span)) as f64;
+        self.site.messages.is_none_or(|most| sent < (most as f64 * part).floor())
     }
 
     fn lines_worth_pushing(&self, table: usize) -> Vec<usize> {
@@ -660,9 +639,9 @@
     fn moved_table(&self) -> Option<usize> {
         let lines = self.site.lines_per_second * CHANNEL_PART;
         let moved = |&table: &usize| {
-            let moves = !self.lines_worth_pushing(table).is_empty();
             let tells = !self.levels_worth_telling(table).is_empty();
-            (moves && self.fits(table, FOR_MOVES, lines)) || (tells && self.fits(table, FOR_HASTE, lines))
+            let messages = if tells { FOR_HASTE } else { FOR_MOVES };
+            (tells || !self.lines_worth_pushing(table).is_empty()) && self.fits(table, messages, lines)
         };
         (0..self.tables.len()).filter(|_| !self.site.sliced).find(moved)
     }
@@ -692,14 +671,14 @@
     }
 
     fn unbound_proxy(&self) -> Option<usize> {
-        let room = self.queued.0 + self.binding_lines() <= QUEUE_PART * self.site.waiting_lines;
+        let fits = self.queued.0 + self.binding_lines() <= QUEUE_PART * self.site.waiting_lines;
+        let can = fits && !self.site.sliced;
         let waiting = |proxy: &Proxy| {
             let tables = &self.tables[proxy.home * self.groups.len()..][..self.groups.len()];
             let ready = tables.iter().any(|table| table.sent.iter().any(|&weight| weight > 0.0));
-            ready && !proxy.bound && proxy.left.is_none()
+            can && ready && !proxy.bound && proxy.left.is_none()
         };
-        let able = |_: &(&ProxyId, &Proxy)| room && !self.site.sliced;
-        self.proxies.iter().filter(able).find(|(_, proxy)| waiting(proxy)).map(|(id, _)| id.0 as usize)
+        self.proxies.iter().find(|(_, proxy)| waiting(proxy)).map(|(id, _)| id.0 as usize)
     }
 
     fn bind(&mut self, id: usize, orders: &mut Orders) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// The mean of what was measured, of one kind or of all.
+    pub fn mean_capacity(&self, kind: Option<u32>) -> Option<f64> {
+        let known = |&e: &usize| self.rounds[e] > 0.0 && kind.is_none_or(|kind| kind == self.kind[e]);
+        let known = (0..self.len()).filter(known).map(|e| self.rate[e] / self.busy[e]);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), c| (sum + c, count + 1.0));
+        (count > 0.0).then_some(sum / count)
+    }
+
     pub fn len(&self) -> usize {
         self.home.len()
     }
@@ -118,6 +126,10 @@
         Proxy { home, left: None, bound: false, heard: false, rates, messages: VecDeque::new() }
     }
 
+    pub fn messages_since(&self, start: Duration) -> usize {
+        self.messages.iter().filter(|&&at| at >= start).count()
+    }
+
     /// Orders of one moment travel as one message.
     pub fn note_message(&mut self, now: Duration, span: Duration) {
         if self.messages.back() != Some(&now) {
@@ -232,4 +244,11 @@
             self.queued.0 += lines as f64 + self.site.lines_per_message;
         }
     }
+
+    /// What was queued has gone out at this many lines a second since it was last looked at.
+    pub(crate) fn let_queue_drain(&mut self, rate: f64) {
+        let (queued, since) = self.queued;
+        let sent = self.now.saturating_sub(since).as_secs_f64() * rate;
+        self.queued = ((queued - sent).max(0.0), self.now);
+    }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -250,3 +250,43 @@
     host.seconds(5, 45.0, |e| (e < 6).then_some((20.0, 2.0, 1.0)));
     assert!(host.tables.is_empty() && host.bound.is_empty() && host.levels.is_empty());
 }
+
+#[test]
+fn an_idle_endpoint_that_fails_keeps_a_trickle_though_its_probes_are_answered() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    host.seconds(3, 15.0, |e| (e < 6).then_some(if e == 0 { (10.0, 8.0, 0.1) } else { (10.0, 0.0, 0.6) }));
+    let share = host.share(0, 0);
+    assert!(share > 0.0 && share < 0.05, "{share}");
+    // A jammed one fails too, but is busy: easing it at once would move the jam on.
+    host.seconds(3, 15.0, |e| (e < 6).then_some(if e == 1 { (10.0, 6.0, 1.0) } else { (10.0, 0.0, 0.6) }));
+    assert!(host.share(0, 1) > 0.08, "{}", host.share(0, 1));
+}
+
+#[test]
+fn many_failures_at_high_load_begin_levels_though_idle_endpoints_keep_the_mean_heat_low() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    host.seconds(5, 45.0, |e| (e < 6).then_some(if e < 3 { (20.0, 16.0, 0.1) } else { (20.0, 2.0, 1.0) }));
+    assert!(host.levels[&1].0 < 1.0, "{:?}", host.levels);
+}
+
+#[test]
+fn levels_are_told_in_time_while_weights_move_all_the_time() {
+    let mut host = Host::running(homes(), 8);
+    let swing =
+        |busy: f64| move |e: u32| (e < 8).then_some((15.0, 0.0, if e % 4 < 2 { busy } else { busy * 0.5 }));
+    (0..12).for_each(|second| host.seconds(1, 15.0, swing(if second % 2 == 0 { 0.4 } else { 0.8 })));
+    host.seconds(4, 80.0, |e| (e < 8).then_some((20.0, 6.0, 1.0)));
+    assert!(host.levels[&1].0 < 1.0, "{:?}", host.levels);
+}
+
+#[test]
+fn heat_that_is_not_heard_any_more_ends() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(10, 15.0, CALM);
+    host.seconds(5, 45.0, |e| (e < 6).then_some((20.0, 2.0, 1.0)));
+    assert!(host.levels[&1].0 < 1.0);
+    host.seconds(10, 15.0, |e| (e < 2).then_some((20.0, 0.0, 0.3)));
+    assert_eq!(host.levels[&1].0, 1.0);
+}
