--- a/src/policy.rs
+++ b/src/policy.rs
@@ -431,8 +431,8 @@
             let part = if fleet.usable(e) { self.ramp(e) } else { 0.0 };
             // Where probes do not confirm, as shallow ones never do of errors, a suspected endpoint stays in,
             // but for the part that it answers: each call more than that is lost.
-            let trust =
-                if fleet.doubted[e] { (1.0 - fleet.failing(e)).powi(2).max(LEAST_TRUST) } else { 1.0 };
+            let answered = if fleet.suspected(e) { 1.0 - fleet.failing(e) } else { 1.0 };
+            let trust = if fleet.doubted[e] { answered.powi(2).max(LEAST_TRUST) } else { answered };
             let full = average.map_or(fleet.weight[e], |all| {
                 // Rounds not heard yet count as the kind's mean, where one of it was heard: few calls
                 // say little, and a fleet being replaced would load small machines like large ones.
