--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,7 +63,7 @@
 /// Levels come down when the fleet is this busy and demand passes the target part of capacity: calls
 /// above it would only wait past their goals. The least level keeps a class measurable.
 const HOT: f64 = 0.85;
-const TARGET: f64 = 0.85;
+const TARGET: f64 = 0.78;
 const LEAST_LEVEL: f64 = 0.02;
 const LEVEL_STEP: f64 = 0.05;
 /// More calls a second than any proxy has: lets all in where levels are rates.
