--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,9 +60,8 @@
 const PROBE_LOST: Duration = Duration::from_secs(3);
 /// The least part of the open endpoints that stays in the tables, whatever the probes say.
 const KEPT_OPEN: f64 = 1.0 / 3.0;
-/// Levels come down when the fleet is this busy and demand passes the target part of capacity: calls
-/// above it would only wait past their goals. The least level keeps a class measurable.
-const HOT: f64 = 0.85;
+/// Levels come down when the fleet is busier than the target and demand passes that part of capacity:
+/// calls above it would only wait past their goals. The least level keeps a class measurable.
 const TARGET: f64 = 0.78;
 const LEAST_LEVEL: f64 = 0.02;
 const LEVEL_STEP: f64 = 0.05;
@@ -417,7 +416,7 @@
     fn ramp(&self, e: usize) -> f64 {
         let warm = (self.age(e).as_secs_f64() / self.site.warm_up.as_secs_f64().max(LEAST_SPAN)).min(1.0);
         let slowest = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
-        let calm = self.state.heat < HOT && self.state.failing < PILING / 2.0;
+        let calm = self.state.heat < TARGET && self.state.failing < PILING / 2.0;
         let spare = if calm { (self.site.fall_multiple / FALL_MARGIN).max(1.0) } else { 1.0 };
         let since = |at: Duration| self.now.saturating_sub(at).as_secs_f64();
         let rounds = self.fleet.admitted[e].map_or(f64::INFINITY, since) / self.site.round.as_secs_f64();
@@ -459,7 +458,7 @@
         let (sum, busy) = said.fold((0.0, 0.0), |(sum, busy), (c, said)| (sum + c, busy + c * said));
         let heat = if sum > 0.0 { busy / sum } else { load };
         self.state.heat += STATE_GAIN * (heat - self.state.heat);
-        let pressed = self.state.heat > HOT || self.state.failing > PILING / 2.0;
+        let pressed = self.state.heat > TARGET || self.state.failing > PILING / 2.0;
         let over = self.shedding() || (load > TARGET && pressed);
         let shown = self.state.handled / self.state.heat.max(LEAST_BUSY);
         let mut room = if over { TARGET * capacity.max(shown) } else { f64::INFINITY };
