--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
-//! Every decision of a pilot. A host tells it what happened by calling the methods of [`Pilot`] in the
-//! order of the happenings and carries out the [`Orders`] that each call returns; `interface.rs` holds
-//! the types of both, `state.rs` what is kept in mind. After each call the rules in [`RULES`] are gone through, first to last and over
-//! again, until none fires. The design, and where this departs from it, is in `docs/design.md`.
+//! Every decision of a pilot. A host calls the methods of [`Pilot`] in the order of the happenings and
+//! carries out the [`Orders`] that each returns; `interface.rs` holds the types of both, `state.rs` what is
+//! kept in mind. After each call the rules in [`RULES`] are gone through, first to last and over again,
+//! until none fires. The design, and where this departs from it, is in `docs/design.md`.
 
 use std::time::Duration;
 
@@ -76,15 +76,13 @@
 const STOP: f64 = 0.001;
 const ITERATIONS: usize = 30;
 const HALVINGS: usize = 40;
-/// Each block is solved in units that make its squared coefficients in the constraints sum to this, so
-/// that the proximal term OMEGA holds it: in the paper's units, without its bound on L, the iteration
-/// swings apart (the convergence condition of IV-C asks for OMEGA in proportion to that sum).
+/// Each block's squared coefficients sum to this in the units it is solved in, so that OMEGA holds it: in
+/// the paper's units, without its bound on L, the iteration swings apart (see the condition in IV-C).
 const UNIT: f64 = OMEGA / RHO;
 
 /// The min-max split of flows over servers by proximal Jacobian ADMM.
 impl Split {
-    /// Splits the flows' `demand` over servers of the given `capacity`; 0 means the server takes part
-    /// in no flow. Starts from the last round's iterate.
+    /// Splits `demand` by flow over servers of `capacity` (0: takes no part), from the last iterate on.
     pub fn solve(&mut self, demand: &[f64], capacity: &[f64]) {
         let servers: Vec<usize> = (0..capacity.len()).filter(|&j| capacity[j] > 0.0).collect();
         let total: f64 = demand.iter().sum();
@@ -428,8 +426,7 @@
         for e in 0..self.fleet.len() {
             let fleet = &self.fleet;
             let part = if fleet.usable(e) { self.ramp(e) } else { 0.0 };
-            // Where probes do not confirm, as shallow ones never do of errors, a suspected endpoint stays in,
-            // but for the part that it answers: each call more than that is lost.
+            // Probes may never confirm (shallow ones meet no errors): the part it answers is all it gets.
             let answered = if fleet.suspected(e) { 1.0 - fleet.failing(e) } else { 1.0 };
             let trust = if fleet.doubted[e] { answered.powi(2).max(LEAST_TRUST) } else { answered };
             let full = average.map_or(fleet.weight[e], |all| {
@@ -476,9 +473,8 @@
         self.levels.iter().any(|&level| level < 1.0)
     }
 
-    /// A level as the proxies read it. One rate serves every proxy of a pilot, so the busiest are cut
-    /// first, down to where the class as a whole comes to its part. While anything is refused no call
-    /// is tried again: a jam turns calls away, and each tried again elsewhere adds to it.
+    /// A level as proxies read it; a rate is the same for all of a pilot's, so the busiest are cut first.
+    /// While anything is refused no call is tried again: a jam turns calls away, and tries add to it.
     fn telling(&self, class: usize) -> (f64, Tries) {
         let tries = if self.shedding() { Tries::Once } else { Tries::AgainIfNeverRan };
         let level = self.levels[class];
