--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,14 +45,15 @@
 /// How long a proxy whose stream broke still counts as demand.
 const MEMORY: Duration = Duration::from_secs(20);
 /// Suspicion: the failed part of recent tries above what the better quarter of the fleet shows, on at
-/// least this many failures; older rounds fade. A silent probe counts where this much fails.
+/// least this many failures; older rounds fade. A silent probe counts where the last part fails.
 const FAILED_PART: f64 = 0.3;
 const FEWEST_FAILED: f64 = 2.0;
 const FADE: f64 = 0.5;
-/// The part of its estimate that a suspected endpoint keeps, to show when it is well again.
-const LEAST_TRUST: f64 = 0.1;
-const IDLE: f64 = 0.5;
 const SILENT_PART: f64 = 0.9;
+/// Under this busy fraction a suspected endpoint fails by itself and not for a queue; the least part of
+/// its estimate that it keeps then, to show when it is well again.
+const IDLE: f64 = 0.5;
+const LEAST_TRUST: f64 = 0.1;
 /// Failed probes that confirm (an answer halves their count), answers in a row that end it, and pauses.
 const STRIKES: f64 = 2.0;
 const ANSWERS: u32 = 3;
@@ -61,7 +62,8 @@
 /// The least part of the open endpoints that stays in the tables, whatever the probes say.
 const KEPT_OPEN: f64 = 1.0 / 3.0;
 /// Levels come down when the fleet is busier than the target and demand passes that part of capacity:
-/// calls above it would only wait past their goals. The least level keeps a class measurable.
+/// calls above it would only wait past their goals. The least level keeps a class measurable; a change
+/// under the step is not worth a line.
 const TARGET: f64 = 0.78;
 const LEAST_LEVEL: f64 = 0.02;
 const LEVEL_STEP: f64 = 0.05;
@@ -265,8 +267,9 @@
     }
 
     pub fn left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
-        let known = self.proxies.get_mut(&proxy);
-        known.into_iter().for_each(|known| (known.left, known.bound) = (Some(now), false));
+        if let Some(known) = self.proxies.get_mut(&proxy) {
+            (known.left, known.bound) = (Some(now), false);
+        }
         self.settle(now)
     }
 
@@ -287,7 +290,7 @@
         self.settle(now)
     }
 
-    /// Calls of a class that came to a proxy, a second.
+    /// Calls of a class that came to a proxy.
     pub fn came(&mut self, now: Duration, proxy: ProxyId, class: ClassId, came: Came) -> Orders {
         self.last_heard = Some(now);
         if let Some(known) = self.proxies.get_mut(&proxy) {
