--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,8 +20,8 @@
 /// A line that would get a smaller share than this is not worth its place in the table.
 const LEAST_LINE: f64 = 0.005;
 /// Of the messages a proxy may get, the part open to moves, and to what cannot wait; drains may use all.
-const FOR_MOVES: f64 = 0.6;
-const FOR_HASTE: f64 = 0.8;
+const FOR_MOVES: f64 = 0.5;
+const FOR_HASTE: f64 = 0.7;
 /// Of the lines that may wait, the part that may be filled: our count of what waits is a guess.
 const QUEUE_PART: f64 = 0.8;
 /// The pause between looks at the rules, and from a report's last line to its round's close.
@@ -36,7 +36,7 @@
 /// The part of a ramping endpoint's present estimate that the calls to come may take (neither is known
 /// well), and how far under the fall multiple its ramp must stay while the fleet is calm.
 const CAUTION: f64 = 0.7;
-const FALL_MARGIN: f64 = 2.0;
+const FALL_MARGIN: f64 = 2.5;
 /// Failed part of tries, or unheard part of demand, from which proxies may stray from their tables.
 const PILING: f64 = 0.25;
 /// How far a round moves a proxy's demand (calls come in bunches) and the fleet's state (jams build fast).
