--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,9 +19,9 @@
 const CHANNEL_PART: f64 = 1.0 / 3.0;
 /// A line that would get a smaller share than this is not worth its place in the table.
 const LEAST_LINE: f64 = 0.005;
-/// Of the messages a proxy may get, the part open to moves, and to what cannot wait; drains may use all.
+/// Of the messages a proxy may get, the part open to moves, and to levels and easing; drains may use all.
 const FOR_MOVES: f64 = 0.5;
-const FOR_HASTE: f64 = 0.7;
+const FOR_HASTE: f64 = 0.6;
 /// Of the lines that may wait, the part that may be filled: our count of what waits is a guess.
 const QUEUE_PART: f64 = 0.8;
 /// The pause between looks at the rules, and from a report's last line to its round's close.
@@ -62,8 +62,7 @@
 /// The least part of the open endpoints that stays in the tables, whatever the probes say.
 const KEPT_OPEN: f64 = 1.0 / 3.0;
 /// Levels come down when the fleet is busier than the target and demand passes that part of capacity:
-/// calls above it would only wait past their goals. The least level keeps a class measurable; a change
-/// under the step is not worth a line.
+/// calls above it would wait past their goals. The least level keeps a class measurable.
 const TARGET: f64 = 0.78;
 const LEAST_LEVEL: f64 = 0.02;
 const LEVEL_STEP: f64 = 0.05;
@@ -387,8 +386,7 @@
             if good > 0.0 && !ramping && !fleet.doubted[e] {
                 let time = (fleet.time[e] / good).max(f64::MIN_POSITIVE);
                 fleet.quietest[e] = fleet.quietest[e].min(time);
-                let waiting = 1.0 - fleet.quietest[e] / time;
-                let busy = fleet.reported[e].unwrap_or(waiting).max(LEAST_BUSY);
+                let busy = fleet.reported[e].unwrap_or(1.0 - fleet.quietest[e] / time).max(LEAST_BUSY);
                 fleet.rounds[e] = (fleet.rounds[e] + 1.0).min(ROUNDS);
                 fleet.rate[e] += (good - fleet.rate[e]) / fleet.rounds[e];
                 fleet.busy[e] += (busy - fleet.busy[e]) / fleet.rounds[e];
@@ -600,10 +598,15 @@
         }
     }
 
-    /// Whether a proxy may get one more message, using up to `part` of what is allowed.
+    /// Whether a proxy may get one more message, using up to `part` of what is allowed. Past what haste
+    /// may use they are spaced out: no row of drains, one by one, finds the last message gone.
     fn messages_left(&self, proxy: &Proxy, part: f64) -> bool {
-        let sent = proxy.messages_since(self.now.saturating_sub(self.site.messages_span)) as f64;
-        self.site.messages.is_none_or(|most| sent < (most as f64 * part).floor())
+        let Some(most) = self.site.messages else { return true };
+        let span = self.site.messages_span;
+        let sent = proxy.messages_since(self.now.saturating_sub(span)) as f64;
+        let pause = span.div_f64((most as f64 * (1.0 - FOR_HASTE)).max(1.0));
+        let spaced = proxy.messages.back().is_none_or(|&at| self.now >= at + pause);
+        sent < (most as f64 * part).floor() && (spaced || sent < (most as f64 * FOR_HASTE).floor())
     }
 
     fn lines_worth_pushing(&self, table: usize) -> Vec<usize> {
@@ -692,11 +695,10 @@
     }
 
     fn confirmed_bad(&self) -> Option<usize> {
-        let fleet = &self.fleet;
-        let left = fleet.opened().filter(|&e| !fleet.out[e]).count() as f64;
-        let spare = left - 1.0 >= (fleet.opened().count() as f64 * KEPT_OPEN).max(1.0);
-        let bad = |&e: &usize| !fleet.out[e] && fleet.strikes[e] >= STRIKES && fleet.suspected(e);
-        (0..fleet.len()).filter(|_| spare).find(bad)
+        let (fleet, open) = (&self.fleet, self.fleet.opened().count() as f64);
+        let mut left = fleet.opened().filter(|&e| !fleet.out[e]);
+        let spare = left.clone().count() as f64 - 1.0 >= (open * KEPT_OPEN).max(1.0);
+        left.find(|&e| spare && fleet.strikes[e] >= STRIKES && fleet.suspected(e))
     }
 
     fn shut_out(&mut self, e: usize, _: &mut Orders) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,7 +103,7 @@
         self.home.len()
     }
 
-    pub fn opened(&self) -> impl Iterator<Item = usize> {
+    pub fn opened(&self) -> impl Iterator<Item = usize> + Clone {
         (0..self.len()).filter(|&e| self.open[e])
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -290,3 +290,18 @@
     host.seconds(10, 15.0, |e| (e < 2).then_some((20.0, 0.0, 0.3)));
     assert_eq!(host.levels[&1].0, 1.0);
 }
+
+#[test]
+fn drains_one_by_one_each_leave_within_the_grace_though_weights_use_messages() {
+    let mut host = Host::running(deployment(), 16);
+    let swing = |second: u32| {
+        move |e: u32| (e < 16).then_some((8.0, 0.0, if (e + second) % 2 == 0 { 0.3 } else { 0.9 }))
+    };
+    (0..12).for_each(|second| host.seconds(1, 15.0, swing(second)));
+    for gone in 0..10 {
+        host.list(false, &[Listed { open: false, ..listed(gone, 0) }]);
+        host.seconds(1, 15.0, swing(gone));
+        let late = gone.saturating_sub(2);
+        assert!(gone < 2 || host.share(0, late) == 0.0, "endpoint {late} at drain {gone}");
+    }
+}
