--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -8,11 +8,9 @@
 use dahliaroad::interface::{
     Came, ClassId, EndpointId, Listed, LoadReport, Met, Orders, Phase, ProbeEnd, ProxyId, Tries, ZoneId,
 };
+use dahliaroad_opening::{Fields, Opening, Res, opening, span};
 use serde_json::{Value, json};
 
-use crate::fields::{Fields, Res};
-use crate::settings::{Opening, opening, span};
-
 struct Instance {
     pilot: Pilot,
     names: Vec<String>,
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,14 +1,12 @@
 //! Hosts pilots on the bench's wire: batches of events on standard input, replies on standard output.
 
-mod fields;
 mod host;
-mod settings;
 
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 use std::time::Duration;
 
-use fields::{Fields, Res};
+use dahliaroad_opening::{Fields, Res, span};
 use host::Host;
 use serde_json::{Value, json};
 
@@ -34,7 +32,7 @@
                 ("batch", None) => {
                     let fields = Fields::of("batch", body)?;
                     open = Some(Batch {
-                        now: settings::span(fields.amount("t_ms")?)?,
+                        now: span(fields.amount("t_ms")?)?,
                         serial: fields.whole("serial")?,
                         reply: Vec::new(),
                     });
--- a/benchlink/src/settings.rs
+++ b/opening/src/settings.rs
@@ -12,6 +12,24 @@
     pub deployment: Deployment,
     pub load_fields: Vec<String>,
     pub slices: u64,
+    /// In the order of their numbers.
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub classes: Vec<String>,
+    /// Least pause between two looks at what came in.
+    pub turn: Duration,
+    /// How long a connection to an endpoint may take to come up.
+    pub connect_within: Duration,
+}
+
+fn texts(place: &str, key: &str, values: &[Value]) -> Res<Vec<String>> {
+    let texts = values.iter().map(|value| value.as_str().map(str::to_owned)).collect::<Option<_>>();
+    texts.ok_or_else(|| format!("{place}: field '{key}' is not a list of texts"))
+}
+
+/// A list that the decisions do not need, empty where it is missing.
+fn spare_texts(settings: Fields, key: &str) -> Res<Vec<String>> {
+    settings.optional(key).map_or(Ok(Vec::new()), |_| texts("settings", key, settings.list(key)?))
 }
 
 pub fn span(milliseconds: f64) -> Res<Duration> {
@@ -23,6 +41,10 @@
     span(fields.number(key)?).map_err(|error| format!("field '{key}': {error}"))
 }
 
+fn optional_span(fields: Fields, key: &str) -> Res<Duration> {
+    fields.optional(key).map_or(Ok(Duration::ZERO), |_| span_field(fields, key))
+}
+
 fn class_terms(value: &Value, own_zone: bool) -> Res<ClassTerms> {
     let class = Fields::of("classes", value)?;
     Ok(ClassTerms { latency_goal: span_field(class, "on_time_ms")?, value: class.number("worth")?, own_zone })
@@ -75,11 +97,15 @@
         fall_multiple: rules.amount("fall_multiple")?,
         warm_up: span_field(rules, "warm_up_ms")?,
     };
-    let load_fields = report.list("fields")?.iter();
-    let load_fields = load_fields.map(|name| name.as_str().map(str::to_owned)).collect::<Option<_>>();
+    let name = |class: &Value| Some(class.get("name")?.as_str()?.to_owned());
     Ok(Opening {
         deployment,
-        load_fields: load_fields.ok_or("report: field 'fields' is not a list of texts")?,
+        load_fields: texts("report", "fields", report.list("fields")?)?,
         slices,
+        zones: texts("settings", "zones", settings.list("zones")?)?,
+        kinds: spare_texts(settings, "models")?,
+        classes: classes.iter().map(|class| name(class).unwrap_or_default()).collect(),
+        turn: optional_span(settings, "round_ms")?,
+        connect_within: optional_span(limits, "connect_timeout_ms")?,
     })
 }
--- /dev/null
+++ b/pilot/src/endpoints.rs
@@ -0,0 +1,64 @@
+//! Probes of endpoints, each on a connection of its own and each with exactly one result.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dahliaroad::interface::{EndpointId, ProbeEnd};
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+
+use crate::counters;
+use crate::decide::Desk;
+
+/// Longer than a healthy endpoint's queue, shorter than the pause until the next probe is worth sending.
+const ANSWER_WITHIN: Duration = Duration::from_millis(600);
+/// Probes under way; each holds a descriptor.
+const AT_ONCE: usize = 128;
+
+pub struct Probe {
+    pub endpoint: EndpointId,
+    pub dial: SocketAddr,
+}
+
+async fn ask(dial: SocketAddr, connect_within: Duration) -> ProbeEnd {
+    let Ok(Ok(stream)) = timeout(connect_within, TcpStream::connect(dial)).await else {
+        return ProbeEnd::Failed;
+    };
+    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return ProbeEnd::Failed;
+    };
+    let request = Request::get("/health/live").header(header::HOST, dial.to_string());
+    let Ok(request) = request.body(Empty::<Bytes>::new()) else { return ProbeEnd::Failed };
+    let answer = async {
+        tokio::select! {
+            answer = sender.send_request(request) => answer.ok(),
+            _ = connection => None,
+        }
+    };
+    match timeout(ANSWER_WITHIN, answer).await {
+        Ok(Some(answer)) if answer.status() == StatusCode::OK => ProbeEnd::Answered,
+        Ok(_) => ProbeEnd::Failed,
+        Err(_) => ProbeEnd::Silent,
+    }
+}
+
+pub async fn probe(mut probes: mpsc::Receiver<Probe>, connect_within: Duration, desk: Desk) {
+    let room = std::sync::Arc::new(Semaphore::new(AT_ONCE));
+    while let Some(Probe { endpoint, dial }) = probes.recv().await {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let desk = desk.clone();
+        tokio::task::spawn_local(async move {
+            counters::PROBES.add(1);
+            let end = ask(dial, connect_within).await;
+            drop(permit);
+            counters::PROBES_ANSWERED.add(usize::from(end == ProbeEnd::Answered));
+            desk.tell(move |seat, now| seat.pilot.probed(now, endpoint, end)).await;
+        });
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -455,6 +455,24 @@
         self.waiting.retain(|waits| waits.1 != id);
     }
 
+    /// A proxy that may have come anew unheard: whatever it was bound to may bind it no more.
+    pub fn doubted(&mut self, id: ProxyId) {
+        if let Some(known) = self.proxies.get_mut(&id) {
+            known.bound = false;
+        }
+        self.waiting.retain(|waits| waits.1 != id);
+    }
+
+    /// What was ordered under a mark went out once more, as nothing told whether it had been carried out.
+    pub fn repeated(&mut self, now: Duration, mark: u32) {
+        for waits in self.waiting.iter_mut().filter(|waits| waits.0 == mark) {
+            waits.2 *= 2.0;
+            if let Some(known) = self.proxies.get_mut(&waits.1) {
+                known.note_message(now, self.site.messages_span);
+            }
+        }
+    }
+
     /// Messages leave the channel in order: what was ordered before a confirmed mark has left.
     pub(crate) fn note_confirmed(&mut self, id: ProxyId, mark: u32) {
         let before = self.waiting.iter().position(|waits| waits.0 == mark).unwrap_or(0);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -88,7 +88,7 @@
     host.join(0, 0);
     host.join(1, 0);
     // Kind 1 needs twice the time for the same calls.
-    let kinds = |e: u32| (e < 6).then_some((10.0, 0.0, if e % 2 == 0 { 0.3 } else { 0.6 }));
+    let kinds = |e: u32| (e < 6).then_some((10.0, 0.0, if e.is_multiple_of(2) { 0.3 } else { 0.6 }));
     host.seconds(25, 15.0, kinds);
     host.list(false, &[Listed { kind: 1, ..listed(6, 0) }]);
     host.seconds(4, 15.0, kinds);
@@ -202,8 +202,9 @@
 fn no_proxy_gets_more_messages_than_allowed_whatever_comes() {
     let mut host = Host::running(deployment(), 8);
     for second in 0..40 {
-        let swing =
-            move |e: u32| (e < 8).then_some((10.0, 0.0, if (e + second) % 2 == 0 { 0.3 } else { 0.9 }));
+        let swing = move |e: u32| {
+            (e < 8).then_some((10.0, 0.0, if (e + second).is_multiple_of(2) { 0.3 } else { 0.9 }))
+        };
         host.seconds(1, 15.0, swing);
         let phase = if second % 2 == 0 { Phase::Running } else { Phase::Draining };
         host.list(false, &[Listed { phase, started: Some(host.now), ..listed(second % 8, 0) }]);
