Collectors' load figures are read under the settings' name

A trace of all frames showed "metrics":{"busy":0.132,"q":0.0}, the settings' names; collectors.rs looked for the protocol page's "util", so the module fell back to answer times.

No crash, no rule broken.

--- a/pilot/src/collectors.rs
+++ b/pilot/src/collectors.rs
@@ -68,6 +68,11 @@
     names.iter().position(|known| known == name).map(|place| place as u32)
 }
 
+/// Deployments' collectors use the settings' word, the protocol's page another.
+fn busy(metrics: HashMap<String, f64>) -> Option<f64> {
+    metrics.get("busy").or(metrics.get("util")).copied()
+}
+
 impl Frame<'_> {
     async fn admit_outcomes(self, terms: &Terms, desk: &Desk) -> Option<()> {
         let zone = ZoneId(place(&terms.zones, &self.locality)?);
@@ -76,7 +81,7 @@
             failed: amount(self.errors, LARGEST)?,
             answer_time: span(self.rtt.or(Some(0.0)))?,
             span: span(self.interval)?,
-            load: LoadReport { busy: amount(self.metrics.and_then(|all| all.get("util").copied()), LARGEST) },
+            load: LoadReport { busy: amount(self.metrics.and_then(busy), LARGEST) },
         };
         let name = self.endpoint?.into_owned();
         desk.tell(move |seat, now| match seat.roster.find(&name) {
