Toy fleet in examples; waiting orders merge, doubted proxies are bound anew

In the pilot: orders that wait for the relay travel as one call, of several for the same only the last; a call whose mark a proxy confirmed counts as done; after a news break proxies that stand are bound anew, as they may have left and come again unheard.

--- /dev/null
+++ b/examples/src/discovery.rs
@@ -0,0 +1,56 @@
+//! Discovery: the whole list, and watches that hold until something changes.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::world::World;
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let value = query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+    value.and_then(|value| value.parse().ok())
+}
+
+async fn answer(query: String, world: Rc<World>) -> Response<Full<Bytes>> {
+    world.watches.set(world.watches.get() + 1);
+    let after = number(&query, "after");
+    if let Some(seq) = after {
+        let wait = Duration::from_millis(number(&query, "wait_ms").unwrap_or(0).min(60_000));
+        let newer = async {
+            while world.seq.get() <= seq {
+                world.stirred.notified().await;
+            }
+        };
+        let _ = timeout(wait, newer).await;
+    }
+    if world.discovery_silent.get() {
+        std::future::pending::<()>().await;
+    }
+    let told = world.false_list.borrow().clone();
+    Response::new(Full::from(told.unwrap_or_else(|| world.list(after).to_string())))
+}
+
+pub async fn serve(listener: TcpListener, world: Rc<World>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let world = world.clone();
+        spawn_local(async move {
+            let service = service_fn(|call: Request<Incoming>| {
+                let query = call.uri().query().unwrap_or_default().to_owned();
+                let world = world.clone();
+                async move { Ok::<_, Infallible>(answer(query, world).await) }
+            });
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/examples/src/endpoints.rs
@@ -0,0 +1,48 @@
+//! Endpoints, as far as probes see them.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::world::{State, World};
+
+async fn answer(path: &str, name: &str, world: &World) -> Response<Full<Bytes>> {
+    world.probes.set(world.probes.get() + 1);
+    let seen = world.endpoints.borrow().get(name).map(|endpoint| (endpoint.state, endpoint.busy));
+    let (state, busy) = seen.unwrap_or((State::Down, 0.0));
+    if state == State::Hung {
+        std::future::pending::<()>().await;
+    }
+    let (status, body) = match path {
+        _ if state != State::Up => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        "/health/live" => (StatusCode::OK, String::new()),
+        "/stats" => (StatusCode::OK, format!("busy={busy:.3}")),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut answer = Response::new(Full::from(body));
+    *answer.status_mut() = status;
+    answer
+}
+
+pub async fn serve(listener: TcpListener, name: String, world: Rc<World>) {
+    let name: Rc<str> = name.into();
+    while let Ok((stream, _)) = listener.accept().await {
+        let (name, world) = (name.clone(), world.clone());
+        spawn_local(async move {
+            let service = service_fn(|call: Request<Incoming>| {
+                let (name, world) = (name.clone(), world.clone());
+                async move { Ok::<_, Infallible>(answer(call.uri().path(), &name, &world).await) }
+            });
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/examples/src/relay.rs
@@ -0,0 +1,103 @@
+//! The relay: JSON-RPC, an object a line.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::interval;
+
+use crate::world::World;
+
+/// What can befall a commit call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Busy,
+    /// Not carried out, and the connection breaks; or carried out, and it breaks.
+    Lost,
+    BrokenAfter,
+    /// Not carried out or carried out, and never answered.
+    Unheard,
+    Unanswered,
+    /// Carried out, and answered with what cannot be read.
+    Garbled,
+}
+
+async fn news(stream: &mut BufReader<TcpStream>, world: &World) -> io::Result<()> {
+    let (sender, mut lines) = mpsc::unbounded_channel();
+    stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n").await?;
+    for (node, proxy) in world.proxies.borrow().iter().filter(|(_, proxy)| proxy.joined) {
+        let hello = json!({"jsonrpc": "2.0", "method": "hello", "params": World::hello(*node, proxy)});
+        let _ = sender.send(Some(hello.to_string()));
+    }
+    world.readers.borrow_mut().push(sender);
+    world.subscriptions.set(world.subscriptions.get() + 1);
+    world.stirred.notify_waiters();
+    let mut second = interval(Duration::from_secs(1));
+    loop {
+        let line = tokio::select! {
+            line = lines.recv() => line.flatten(),
+            _ = second.tick() => Some(r#"{"jsonrpc":"2.0","method":"ping"}"#.to_owned()),
+        };
+        let Some(line) = line else { return Ok(()) };
+        if !world.relay_silent.get() {
+            stream.write_all(format!("{line}\n").as_bytes()).await?;
+        }
+    }
+}
+
+/// So many orders stand: up to the first that cannot be carried out.
+fn commit(orders: &[Value], world: &World) -> usize {
+    let mut reached = BTreeSet::new();
+    let stand = orders.iter().take_while(|order| world.carry_out(order, &mut reached).is_some()).count();
+    world.deliver(&orders[..stand], reached);
+    stand
+}
+
+async fn speak(stream: TcpStream, world: &World) -> io::Result<()> {
+    let (mut stream, mut line) = (BufReader::new(stream), String::new());
+    while stream.read_line(&mut line).await? > 0 {
+        if world.relay_silent.get() {
+            std::future::pending::<()>().await;
+        }
+        let call: Value = serde_json::from_str(&line).unwrap_or_default();
+        line.clear();
+        let fault = match call["method"].as_str() {
+            Some("subscribe") => return news(&mut stream, world).await,
+            Some("commit") => world.faults.borrow_mut().pop_front(),
+            _ => None,
+        };
+        let orders = call["params"]["ops"].as_array();
+        let taken = match (orders, fault) {
+            (None, _) => Err("SYNTAX"),
+            (_, Some(Fault::Busy)) => Err("BUSY"),
+            (_, Some(Fault::Lost | Fault::Unheard)) => Ok(0),
+            (Some(orders), _) => Ok(commit(orders, world)),
+        };
+        let answer = match taken {
+            Ok(count) => json!({"jsonrpc": "2.0", "id": call["id"], "result": {"ok_count": count}}),
+            Err(word) => {
+                json!({"jsonrpc": "2.0", "id": call["id"], "error": {"code": -32000, "message": word}})
+            }
+        };
+        match fault {
+            Some(Fault::Lost | Fault::BrokenAfter) => return Ok(()),
+            Some(Fault::Unheard | Fault::Unanswered) => std::future::pending::<()>().await,
+            Some(Fault::Garbled) => stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":\n").await?,
+            _ => stream.write_all(format!("{answer}\n").as_bytes()).await?,
+        }
+    }
+    Ok(())
+}
+
+pub async fn serve(listener: TcpListener, world: Rc<World>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let world = world.clone();
+        spawn_local(async move { speak(stream, &world).await });
+    }
+}
--- a/pilot/src/counters.rs
+++ b/pilot/src/counters.rs
@@ -20,12 +20,15 @@
 
 counters! {
     CONNECTIONS: "connections accepted",
-    STRANGERS: "connections closed as silent or broken",
-    SUMS: "sums taken in",
+    STRANGERS: "connections closed as silent",
+    BROKEN: "connections closed as broken",
+    FRAMES: "frames taken in",
+    UNLISTED: "sums of endpoints not listed",
     ALIVE: "alive answered",
     BAD: "inputs refused",
     NEWS: "news taken in",
     SUBSCRIBED: "news subscribed",
+    NEWS_LOST: "news lost",
     LISTS: "lists taken in",
     WATCHES_LOST: "watches lost",
     CALLS: "calls sent to the relay",
--- a/pilot/src/decide.rs
+++ b/pilot/src/decide.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dahliaroad::Pilot;
-use dahliaroad::interface::{EndpointId, Orders};
+use dahliaroad::interface::{EndpointId, Orders, ProbeEnd};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::counters;
 use crate::endpoints::Probe;
@@ -20,6 +20,8 @@
 const WAITING: usize = 1024;
 /// Inputs taken up in one turn, so that a flood cannot put the timers off.
 const A_TURN: usize = 4096;
+/// The module asks to be woken; should it ever not, it is all the same.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
 /// What a peer's task hands in: it calls a method of the module at the time given.
 pub type Call = Box<dyn FnOnce(&mut Seat, Duration) -> Orders>;
@@ -34,9 +36,9 @@
         (Desk(sender), receiver)
     }
 
-    pub async fn tell(&self, call: impl FnOnce(&mut Seat, Duration) -> Orders + 'static) {
+    pub async fn tell(&self, call: Call) {
         // The receiver lives as long as the program.
-        let _ = self.0.send(Box::new(call)).await;
+        let _ = self.0.send(call).await;
     }
 }
 
@@ -65,6 +67,10 @@
         number
     }
 
+    pub fn dial(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        self.dials[endpoint.0 as usize]
+    }
+
     pub fn name(&self, endpoint: EndpointId) -> Arc<str> {
         self.names[endpoint.0 as usize].clone()
     }
@@ -93,6 +99,8 @@
     }
 }
 
+/// Takes up what came in together in one turn, as its orders make one message to each proxy; turns are at
+/// least `turn` apart.
 pub async fn run(
     mut seat: Seat,
     mut calls: mpsc::Receiver<Call>,
@@ -102,42 +110,39 @@
 ) {
     let clock = Clock::new();
     let mut wake_at = Instant::now();
-    let mut waiting = Vec::new();
+    let mut taken = Vec::new();
     loop {
-        let taken = tokio::select! {
-            taken = calls.recv_many(&mut waiting, A_TURN) => taken,
-            () = sleep_until(wake_at) => 0,
-        };
-        if taken > 0 {
-            // What comes together is decided on together, as one message to each proxy.
-            tokio::time::sleep(turn).await;
-            while waiting.len() < A_TURN {
-                let Ok(call) = calls.try_recv() else { break };
-                waiting.push(call);
+        tokio::select! {
+            _ = calls.recv_many(&mut taken, A_TURN) => {
+                sleep(turn).await;
+                while taken.len() < A_TURN && let Ok(call) = calls.try_recv() {
+                    taken.push(call);
+                }
             }
+            () = sleep_until(wake_at) => {}
         }
         counters::TURNS.add(1);
         let now = clock.read();
-        let mut all: Vec<Orders> = waiting.drain(..).map(|call| call(&mut seat, now)).collect();
         if wake_at <= Instant::now() {
-            wake_at = Instant::now() + Duration::from_secs(1);
-            all.push(seat.pilot.woken(now));
+            wake_at = Instant::now() + LONGEST_SLEEP;
+            taken.push(Box::new(|seat, now| seat.pilot.woken(now)));
         }
-        for orders in all {
-            if let Some(after) = orders.wake_after {
-                wake_at = Instant::now() + after;
-            }
-            for note in &orders.notes {
-                log::info!("{note}");
-            }
-            for &endpoint in &orders.probes {
-                let dial = seat.roster.dials[endpoint.0 as usize];
-                if let Some(probe) = dial.map(|dial| Probe { endpoint, dial }) {
-                    let _ = probes.try_send(probe);
+        while !taken.is_empty() {
+            for call in std::mem::take(&mut taken) {
+                let orders = call(&mut seat, now);
+                outbox.send(&orders, &seat.roster);
+                orders.notes.iter().for_each(|note| log::info!("{note}"));
+                wake_at = orders.wake_after.map_or(wake_at, |after| Instant::now() + after);
+                for endpoint in orders.probes {
+                    let probe = seat.roster.dial(endpoint).map(|dial| Probe { endpoint, dial });
+                    // One that cannot be sent ends at once: each has exactly one result.
+                    if probe.is_none_or(|probe| probes.try_send(probe).is_err()) {
+                        let end = ProbeEnd::TurnedAway;
+                        taken.push(Box::new(move |seat, now| seat.pilot.probed(now, endpoint, end)));
+                    }
                 }
             }
-            outbox.add(&orders, &seat.roster);
         }
-        outbox.close_turn();
+        outbox.release();
     }
 }
--- a/pilot/src/discovery.rs
+++ b/pilot/src/discovery.rs
@@ -1,6 +1,8 @@
 //! The list of endpoints: fetched whole, then followed by a watch that never stands still.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +12,7 @@
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -18,10 +21,15 @@
 
 /// The agent is on this machine: what is not there by then is not coming.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
-const ANSWER_WITHIN: Duration = Duration::from_millis(1000);
-/// A watch that has gone silent is found out at its end, so a short one costs least.
-const WAIT: Duration = Duration::from_millis(4000);
-const PAUSE: Duration = Duration::from_millis(100);
+const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+/// A long list may come in pieces.
+const LIST_WITHIN: Duration = Duration::from_millis(2000);
+/// A watch that has gone silent is found out at its end, so a short one costs least: it is free of charge, and
+/// found out before its news counts as told.
+const WAIT: Duration = Duration::from_millis(2000);
+/// The first pause is short, as a watch goes on only where the next follows within 200 ms.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Far more than any list of endpoints needs.
 const LONGEST: usize = 8 << 20;
 /// No figure of an honest list is larger; sums of such stay finite.
@@ -31,22 +39,25 @@
 pub struct ListMessage {
     seq: u64,
     whole: bool,
-    hosts: Vec<Host>,
+    hosts: Vec<Box<RawValue>>,
 }
 
 #[derive(Deserialize)]
-struct Host {
-    host: String,
+struct Entry<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
     dial: SocketAddr,
-    site: String,
-    class: String,
-    health: String,
+    #[serde(borrow)]
+    site: Cow<'a, str>,
+    #[serde(borrow)]
+    class: Cow<'a, str>,
+    #[serde(borrow)]
+    health: Cow<'a, str>,
     share: f64,
-    born_ms: f64,
+    born_ms: Option<f64>,
 }
 
 /// What the numbers of zones and kinds are.
-#[derive(Clone)]
 pub struct Places {
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -55,33 +66,32 @@
 impl ListMessage {
     /// Entries that cannot be admitted are skipped, each by itself: the others still hold.
     pub fn admit(&self, places: &Places, roster: &mut Roster) -> Vec<Listed> {
-        self.hosts
-            .iter()
-            .filter_map(|host| {
-                let listed = host.admit(places, roster);
-                if listed.is_none() {
-                    counters::BAD.add(1);
-                    log::warn!("discovery: an entry of {} cannot be admitted", host.host);
-                }
-                listed
-            })
-            .collect()
+        let mut admit = |host: &RawValue| {
+            let entry = serde_json::from_str::<Entry>(host.get()).ok();
+            let listed = entry.and_then(|entry| entry.admit(places, roster));
+            if listed.is_none() {
+                counters::BAD.add(1);
+                log::warn!("discovery: not admitted: {:.200}", host.get());
+            }
+            listed
+        };
+        self.hosts.iter().filter_map(|host| admit(host)).collect()
     }
 }
 
-impl Host {
+impl Entry<'_> {
     fn admit(&self, places: &Places, roster: &mut Roster) -> Option<Listed> {
         let zone = places.zones.iter().position(|zone| *zone == self.site)?;
         let kinds = &places.kinds;
         let kind = kinds.iter().position(|kind| *kind == self.class).unwrap_or(kinds.len());
-        let phase = match self.health.as_str() {
+        let phase = match &*self.health {
             "active" => Phase::Running,
             "leaving" => Phase::Draining,
             "left" => Phase::Gone,
             _ => return None,
         };
-        let fair = |figure: f64| (0.0..LARGEST).contains(&figure);
-        if !fair(self.share) || !fair(self.born_ms / 1000.0) {
+        let born = self.born_ms.unwrap_or(0.0) / 1000.0;
+        if ![self.share, born].iter().all(|figure| (0.0..LARGEST).contains(figure)) {
             return None;
         }
         Some(Listed {
@@ -89,7 +99,7 @@
             zone: ZoneId(zone as u32),
             kind: kind as u32,
             weight: self.share,
-            started: (self.born_ms > 0.0).then(|| Duration::from_secs_f64(self.born_ms / 1000.0)),
+            started: (born > 0.0).then(|| Duration::from_secs_f64(born)),
             phase,
         })
     }
@@ -107,51 +117,82 @@
     Ok(sender)
 }
 
-async fn get(sender: &mut SendRequest<Empty<Bytes>>, host: SocketAddr, path: &str) -> Res<ListMessage> {
-    let request = Request::get(path).header(header::HOST, host.to_string()).body(Empty::new());
-    let request = request.map_err(|error| error.to_string())?;
-    let answer = sender.send_request(request).await.map_err(|error| error.to_string())?;
+async fn get(
+    sender: &mut SendRequest<Empty<Bytes>>,
+    host: SocketAddr,
+    path: &str,
+    wait: Duration,
+) -> Res<ListMessage> {
+    let call = Request::get(path).header(header::HOST, host.to_string()).body(Empty::new());
+    let call = call.map_err(|error| error.to_string())?;
+    let answer = timeout(wait + ANSWER_WITHIN, sender.send_request(call)).await;
+    let answer = answer.map_err(|_| "no answer in time")?.map_err(|error| error.to_string())?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()));
     }
-    let body =
-        Limited::new(answer.into_body(), LONGEST).collect().await.map_err(|error| error.to_string())?;
+    let body = timeout(LIST_WITHIN, Limited::new(answer.into_body(), LONGEST).collect()).await;
+    let body = body.map_err(|_| "no end of the list in time")?.map_err(|error| error.to_string())?;
     serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
 }
 
-async fn watch(address: SocketAddr, places: &Places, desk: &Desk, seq: &mut Option<u64>) -> Res<()> {
-    let mut sender = connect(address).await?;
-    loop {
-        let (path, wait) = match seq {
-            None => ("/registry/instances".to_owned(), Duration::ZERO),
-            Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
-        };
-        let list = timeout(wait + ANSWER_WITHIN, get(&mut sender, address, &path)).await;
-        let list = list.map_err(|_| "no answer in time")??;
-        counters::LISTS.add(1);
-        // Versions only go back where the registry began anew: what changed since is not known then.
-        let unfit = !list.whole && seq.is_none_or(|seq| list.seq < seq);
-        *seq = Some(list.seq).filter(|_| !unfit);
-        if unfit || (!list.whole && list.hosts.is_empty()) {
-            continue;
+/// Where the list is followed from, and how.
+pub struct Watch {
+    pub address: SocketAddr,
+    pub places: Rc<Places>,
+    pub desk: Desk,
+    /// The version last heard of.
+    pub seq: Option<u64>,
+    /// Before the next try.
+    pub pause: Duration,
+}
+
+impl Watch {
+    pub fn new(address: SocketAddr, places: Rc<Places>, desk: Desk) -> Watch {
+        Watch { address, places, desk, seq: None, pause: FIRST_PAUSE }
+    }
+
+    async fn hear(&mut self) -> Res<()> {
+        let mut sender = connect(self.address).await?;
+        loop {
+            let (path, wait) = match self.seq {
+                None => ("/registry/instances".to_owned(), Duration::ZERO),
+                Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
+            };
+            let list = get(&mut sender, self.address, &path, wait).await?;
+            counters::LISTS.add(1);
+            self.pause = FIRST_PAUSE;
+            // Versions only go back where discovery began anew: what has changed since is not known then.
+            let unfit = !list.whole && self.seq.is_none_or(|seq| list.seq < seq);
+            self.seq = Some(list.seq).filter(|_| !unfit);
+            if unfit {
+                return Err(format!("changes up to {} do not follow", list.seq));
+            }
+            if list.whole || !list.hosts.is_empty() {
+                self.route(list).await;
+            }
         }
-        let places = places.clone();
-        desk.tell(move |seat, now| {
-            let entries = list.admit(&places, &mut seat.roster);
-            seat.pilot.list(now, list.whole, &entries)
-        })
-        .await;
     }
-}
 
-pub async fn follow(address: SocketAddr, places: Places, desk: Desk) {
-    let mut seq = None;
-    loop {
-        if let Err(error) = watch(address, &places, &desk, &mut seq).await {
-            counters::WATCHES_LOST.add(1);
-            log::warn!("discovery: {error}");
-            desk.tell(|seat, now| seat.pilot.list_failed(now)).await;
+    /// Hands a list on to the module.
+    pub async fn route(&self, list: ListMessage) {
+        let places = self.places.clone();
+        self.desk
+            .tell(Box::new(move |seat, now| {
+                let entries = list.admit(&places, &mut seat.roster);
+                seat.pilot.list(now, list.whole, &entries)
+            }))
+            .await;
+    }
+
+    pub async fn follow(mut self) {
+        loop {
+            if let Err(error) = self.hear().await {
+                counters::WATCHES_LOST.add(1);
+                log::warn!("discovery: {error}");
+                self.desk.tell(Box::new(|seat, now| seat.pilot.list_failed(now))).await;
+            }
+            sleep(self.pause).await;
+            self.pause = (self.pause * 2).min(LONGEST_PAUSE);
         }
-        sleep(PAUSE).await;
     }
 }
--- a/pilot/src/endpoints.rs
+++ b/pilot/src/endpoints.rs
@@ -58,7 +58,7 @@
             let end = ask(dial, connect_within).await;
             drop(permit);
             counters::PROBES_ANSWERED.add(usize::from(end == ProbeEnd::Answered));
-            desk.tell(move |seat, now| seat.pilot.probed(now, endpoint, end)).await;
+            desk.tell(Box::new(move |seat, now| seat.pilot.probed(now, endpoint, end))).await;
         });
     }
 }
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -16,51 +16,60 @@
 
 use dahliaroad::Pilot;
 use decide::{Desk, Roster, Seat};
+use discovery::{Places, Watch};
+use relay::Outbox;
 use start::Start;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinError, JoinSet, LocalSet};
 
 /// Probes that may wait to be sent.
 const PROBES_WAITING: usize = 1024;
 
+/// What ended the program when no one asked for it: no task ever ends by itself.
+fn ended(task: Option<Result<(), JoinError>>) -> io::Error {
+    match task {
+        Some(Err(error)) => io::Error::other(error),
+        _ => io::Error::other("a task ended"),
+    }
+}
+
 async fn serve(start: Start) -> io::Result<()> {
-    let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
-    let mut asks = signal(SignalKind::user_defined1())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut ask = signal(SignalKind::user_defined1())?;
     let listener = TcpListener::bind(start.listen).await?;
-    ::log::info!("{} listens on {}", start.name, start.listen);
-    let chance = start.chance(1);
-    let news_chance = start.chance(2);
-    let opening = start.opening;
+    ::log::info!("{} listens on {}", start.name, listener.local_addr()?);
+    let (calls_chance, news_chance) = (start.chance(1), start.chance(2));
+    let Start { opening, discovery, relay, known, .. } = start;
+    let (zones, classes) = (opening.zones, opening.classes);
     let proxies = opening.deployment.proxies as u32;
-    let places = discovery::Places { zones: opening.zones.clone(), kinds: opening.kinds };
-    let outbox = Rc::new(relay::Outbox::new(opening.classes.clone()));
+    let outbox = Rc::new(Outbox::new(classes.clone()));
     let (desk, calls) = Desk::open();
     let (probes, probes_waiting) = mpsc::channel(PROBES_WAITING);
     let seat = Seat { pilot: Pilot::new(opening.deployment), roster: Roster::default() };
-    spawn_local(decide::run(seat, calls, outbox.clone(), probes, opening.turn));
-    if let Some(known) = start.known {
-        let places = places.clone();
-        desk.tell(move |seat, now| {
-            let entries = known.admit(&places, &mut seat.roster);
-            seat.pilot.list(now, true, &entries)
-        })
-        .await;
+    let watch =
+        Watch::new(discovery, Rc::new(Places { zones: zones.clone(), kinds: opening.kinds }), desk.clone());
+    let terms = relay::Terms { zones: zones.clone(), proxies };
+    let joined = relay::Joined::new(relay, terms, outbox.clone(), desk.clone());
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(decide::run(seat, calls, outbox.clone(), probes, opening.turn));
+    // What was last known of the list stands until discovery has answered.
+    if let Some(known) = known {
+        watch.route(known).await;
     }
-    spawn_local(endpoints::probe(probes_waiting, opening.connect_within, desk.clone()));
-    spawn_local(discovery::follow(start.discovery, places, desk.clone()));
-    spawn_local(relay::carry_out(start.relay, outbox.clone(), desk.clone(), chance));
-    let terms = relay::Terms { zones: opening.zones.clone(), proxies };
-    spawn_local(relay::Joined::new(start.relay, terms, outbox, desk.clone()).follow(news_chance));
-    let terms = collectors::Terms { zones: opening.zones, classes: opening.classes, proxies };
-    spawn_local(collectors::listen(listener, terms, desk));
-    let [terminate, interrupt] = &mut ends;
+    tasks.spawn_local(watch.follow());
+    tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, desk.clone()));
+    tasks.spawn_local(relay::carry_out(relay, outbox, desk.clone(), calls_chance));
+    tasks.spawn_local(joined.follow(news_chance));
+    tasks.spawn_local(collectors::listen(listener, collectors::Terms { zones, classes, proxies }, desk));
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = asks.recv() => ::log::info!("{}", counters::line()),
+            _ = ask.recv() => ::log::info!("{}", counters::line()),
+            task = tasks.join_next() => return Err(ended(task)),
         }
     }
 }
--- /dev/null
+++ b/pilot/src/relay/news.rs
@@ -0,0 +1,159 @@
+//! The relay's news: which proxies are joined, and what they have applied.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dahliaroad::interface::{Orders, ProxyId, ZoneId};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+
+use super::{ANSWER_WITHIN, Link, Outbox, Pause, unreadable};
+use crate::counters;
+use crate::decide::Desk;
+
+/// Two signs of life missed, and one late.
+const SILENT: Duration = Duration::from_millis(2500);
+/// What stands is told in one go; a pause ends it.
+const STANDING_LULL: Duration = Duration::from_millis(200);
+/// No honest figure is larger; sums of such stay finite.
+const LARGEST: f64 = 1e9;
+
+#[derive(Deserialize)]
+struct Told {
+    method: Option<String>,
+    params: Option<Params>,
+    result: Option<bool>,
+}
+
+#[derive(Deserialize)]
+struct Params {
+    node: Option<u32>,
+    locality: Option<String>,
+    w: Option<f64>,
+    nonce: Option<u32>,
+}
+
+/// What news may speak of.
+pub struct Terms {
+    pub zones: Vec<String>,
+    pub proxies: u32,
+}
+
+/// Which proxies are joined, as far as news has told.
+pub struct Joined {
+    address: SocketAddr,
+    terms: Terms,
+    outbox: Rc<Outbox>,
+    desk: Desk,
+    proxies: BTreeSet<u32>,
+    /// Those told of since the last subscription, until all that stands has been told.
+    standing: Option<BTreeSet<u32>>,
+}
+
+impl Joined {
+    pub fn new(address: SocketAddr, terms: Terms, outbox: Rc<Outbox>, desk: Desk) -> Joined {
+        Joined { address, terms, outbox, desk, proxies: BTreeSet::new(), standing: None }
+    }
+
+    async fn left(&mut self, proxy: u32) {
+        if self.proxies.remove(&proxy) {
+            self.outbox.forget(proxy);
+            self.desk.tell(Box::new(move |seat, now| seat.pilot.left(now, ProxyId(proxy)))).await;
+        }
+    }
+
+    /// Who is missing from what stands has left unheard.
+    async fn close_standing(&mut self) {
+        let Some(told) = self.standing.take() else { return };
+        for gone in self.proxies.difference(&told).copied().collect::<Vec<_>>() {
+            self.left(gone).await;
+        }
+    }
+
+    async fn hello(&mut self, params: Params) -> Option<()> {
+        let node = params.node.filter(|node| *node < self.terms.proxies)?;
+        let zone = self.terms.zones.iter().position(|zone| Some(zone) == params.locality.as_ref())?;
+        let rate = params.w.filter(|w| (0.0..LARGEST).contains(w))?;
+        let (proxy, zone) = (ProxyId(node), ZoneId(zone as u32));
+        let standing = self.standing.as_mut().map(|told| told.insert(node)).is_some();
+        if standing && self.proxies.contains(&node) {
+            // It may have left and come again unheard, and be bound to none of our tables then.
+            self.desk
+                .tell(Box::new(move |seat, _| {
+                    seat.pilot.doubted(proxy);
+                    Orders::default()
+                }))
+                .await;
+            return Some(());
+        }
+        // One that comes twice has left in between.
+        self.left(node).await;
+        self.proxies.insert(node);
+        self.desk.tell(Box::new(move |seat, now| seat.pilot.joined(now, proxy, zone, rate))).await;
+        Some(())
+    }
+
+    async fn admit(&mut self, told: Told) -> Option<()> {
+        let method = told.method?;
+        if method != "hello" {
+            self.close_standing().await;
+        }
+        match (method.as_str(), told.params) {
+            ("hello", Some(params)) => self.hello(params).await?,
+            ("bye", Some(params)) => self.left(params.node?).await,
+            ("ack", Some(Params { node: Some(node), nonce: Some(mark), .. })) => {
+                self.outbox.confirmed(mark);
+                self.desk
+                    .tell(Box::new(move |seat, now| seat.pilot.confirmed(now, ProxyId(node), mark)))
+                    .await;
+            }
+            ("ping", _) => {}
+            _ => return None,
+        }
+        Some(())
+    }
+
+    async fn hear(&mut self, pause: &mut Pause) -> io::Result<()> {
+        let mut link = Link::open(self.address).await?;
+        link.write(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"subscribe\"}\n").await?;
+        let line = link.read(ANSWER_WITHIN).await?;
+        match serde_json::from_slice(line) {
+            Ok(Told { result: Some(true), .. }) => {}
+            _ => return Err(unreadable(line)),
+        }
+        counters::SUBSCRIBED.add(1);
+        pause.reset();
+        self.standing = Some(BTreeSet::new());
+        loop {
+            let lull = if self.standing.is_some() { STANDING_LULL } else { SILENT };
+            let line = match link.read(lull).await {
+                Err(error) if error.kind() == io::ErrorKind::TimedOut && self.standing.is_some() => {
+                    self.close_standing().await;
+                    continue;
+                }
+                read => read?,
+            };
+            // After a line that cannot be read nothing that follows can be trusted to be whole.
+            let told = serde_json::from_slice(line).map_err(|_| unreadable(line))?;
+            counters::NEWS.add(1);
+            if self.admit(told).await.is_none() {
+                counters::BAD.add(1);
+                log::warn!("relay: news not admitted");
+            }
+        }
+    }
+
+    pub async fn follow(mut self, chance: ChaCha8Rng) {
+        let mut pause = Pause::new(chance);
+        loop {
+            if let Err(error) = self.hear(&mut pause).await {
+                counters::NEWS_LOST.add(1);
+                log::warn!("relay: news broke off: {error}");
+            }
+            pause.take().await;
+        }
+    }
+}
