Stories of the pilot on sockets, against the toy fleet

Fourteen stories, one for each failure that PROTOCOL names: what becomes of calls, silent or broken news, silent or false discovery, bad frames, silent strangers, restarts, SIGTERM, bad configuration.

--- /dev/null
+++ b/pilot/tests/stories.rs
@@ -0,0 +1,406 @@
+//! One story for each failure a pilot meets on sockets. The pilot runs as a process of its own; the fleet
+//! around it is the toy of `examples`.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+use toyfleet::{Collector, Fault, Fleet, State, frame};
+
+/// Far longer than anything here takes: only a story that fails waits so long.
+const AT_MOST: Duration = Duration::from_secs(30);
+
+fn play(story: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, story);
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let wait = async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(AT_MOST, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+/// The program with a configuration of this text.
+fn program(text: &str) -> Command {
+    static FILES: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("pilot-{}-{}.json", std::process::id(), FILES.fetch_add(1, Relaxed));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dahliaroad"));
+    command.env("ROUTER_CONFIG", path).stderr(Stdio::piped()).kill_on_drop(true);
+    command
+}
+
+struct Pilot {
+    process: Child,
+    listen: SocketAddr,
+    log: Rc<RefCell<Vec<String>>>,
+}
+
+impl Pilot {
+    /// Starts one for the fleet, which last knew of this list.
+    async fn start(fleet: &Fleet, known: Value) -> Pilot {
+        let mut all: Value = serde_json::from_str(include_str!("../../examples/pilot.json")).unwrap();
+        (all["listen"], all["known"]) = (json!("127.0.0.1:0"), known);
+        (all["discovery"], all["store"]["address"]) = (json!(fleet.discovery), json!(fleet.relay));
+        let mut process = program(&all.to_string()).spawn().unwrap();
+        let mut lines = BufReader::new(process.stderr.take().unwrap()).lines();
+        let first = lines.next_line().await.unwrap().expect("a first line");
+        let listen = first.rsplit(' ').next().unwrap().parse().expect(&first);
+        let log = Rc::new(RefCell::new(Vec::new()));
+        let kept = log.clone();
+        spawn_local(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                kept.borrow_mut().push(line);
+            }
+        });
+        Pilot { process, listen, log }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.process.id().expect("still running").to_string();
+        assert!(std::process::Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    fn logged(&self, text: &str) -> bool {
+        self.log.borrow().iter().any(|line| line.contains(text))
+    }
+
+    /// Asks on a connection of its own.
+    async fn assert_alive(&self) {
+        let mut stream = TcpStream::connect(self.listen).await.unwrap();
+        assert_answers(&mut stream).await;
+    }
+
+    /// The connection is closed upon these bytes, and unanswered.
+    async fn assert_closes(&self, bytes: &[u8]) {
+        let (mut stream, mut answer) = (TcpStream::connect(self.listen).await.unwrap(), Vec::new());
+        stream.write_all(bytes).await.unwrap();
+        let closed = timeout(AT_MOST, stream.read_to_end(&mut answer)).await;
+        assert!(closed.is_ok() && answer.is_empty(), "{:?}", String::from_utf8_lossy(bytes));
+    }
+}
+
+async fn assert_answers(stream: &mut TcpStream) {
+    let (alive, mut answer) = (frame(&json!({"type": "alive"})), [0; 20]);
+    stream.write_all(&frame(&json!({"type": "probe"}))).await.unwrap();
+    timeout(AT_MOST, stream.read_exact(&mut answer)).await.expect("an answer").unwrap();
+    assert_eq!(answer[..], alive);
+}
+
+fn zone(place: u32) -> &'static str {
+    if place.is_multiple_of(2) { "east" } else { "west" }
+}
+
+/// So many endpoints by turns in two zones, and two proxies in each.
+async fn fleet(endpoints: u32) -> Fleet {
+    let here = "127.0.0.1:0".parse().unwrap();
+    let fleet = Fleet::start(here, here, &["lookup", "entry"]).await.unwrap();
+    for place in 0..endpoints {
+        fleet.endpoint(&format!("e{place}"), zone(place), "large", 20.0).await.unwrap();
+    }
+    (0..4).for_each(|node| fleet.world.join(node, zone(node), 10.0));
+    fleet
+}
+
+/// Such a fleet and a pilot that has bound all its proxies.
+async fn stage(endpoints: u32) -> (Fleet, Pilot) {
+    let fleet = fleet(endpoints).await;
+    let pilot = Pilot::start(&fleet, fleet.world.list(None)).await;
+    until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
+    (fleet, pilot)
+}
+
+fn bound(fleet: &Fleet, node: u32) -> bool {
+    fleet.world.proxies.borrow()[&node].bound.len() == 2
+}
+
+fn held_somewhere(fleet: &Fleet, endpoint: &str) -> bool {
+    let proxies = fleet.world.proxies.borrow();
+    proxies.values().any(|proxy| proxy.held.values().any(|lines| lines.contains_key(endpoint)))
+}
+
+/// Seconds of sums, until something holds.
+async fn report_until(fleet: &Fleet, pilot: &Pilot, what: &str, holds: impl Fn() -> bool) {
+    let mut collector = Collector::new(fleet.world.clone(), pilot.listen);
+    let wait = async {
+        while !holds() {
+            collector.second().await.unwrap();
+            sleep(Duration::from_millis(1000)).await;
+        }
+    };
+    timeout(AT_MOST, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+#[test]
+fn whatever_becomes_of_a_call_its_orders_come_to_hold_and_a_drain_behind_them_too() {
+    play(async {
+        let (fleet, pilot) = stage(8).await;
+        let faults =
+            [Fault::Busy, Fault::Lost, Fault::BrokenAfter, Fault::Unheard, Fault::Unanswered, Fault::Garbled];
+        for (place, fault) in faults.into_iter().enumerate() {
+            let (world, gone) = (&fleet.world, format!("e{place}"));
+            world.leave(0);
+            world.faults.borrow_mut().push_back(fault);
+            world.join(0, "east", 10.0);
+            until("the fault", || world.faults.borrow().is_empty()).await;
+            world.set_health(&gone, "leaving");
+            until("bound", || bound(&fleet, 0)).await;
+            until("drained", || !held_somewhere(&fleet, &gone)).await;
+        }
+        pilot.assert_alive().await;
+    });
+}
+
+#[test]
+fn a_call_that_stops_at_one_order_goes_on_behind_it() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        (0..4).for_each(|node| fleet.world.leave(node));
+        (0..4).for_each(|node| fleet.world.join(node, zone(node), 10.0));
+        // Its stream breaks before the order that binds it arrives, and nothing has told the pilot.
+        fleet.world.proxies.borrow_mut().get_mut(&1).unwrap().joined = false;
+        until("the others bound", || [0, 2, 3].iter().all(|&node| bound(&fleet, node))).await;
+        until("the stop logged", || pilot.logged("stopped at")).await;
+    });
+}
+
+#[test]
+fn orders_wait_while_the_relay_is_silent_and_reach_each_proxy_as_one_message() {
+    play(async {
+        let (fleet, _pilot) = stage(8).await;
+        let world = &fleet.world;
+        world.relay_silent.set(true);
+        ["e0", "e1", "e2"].into_iter().for_each(|gone| world.set_health(gone, "leaving"));
+        let watches = world.watches.get();
+        until("the list told", || world.watches.get() > watches + 1).await;
+        let messages = |node| world.proxies.borrow()[&node].messages;
+        let before: Vec<usize> = (0..4).map(messages).collect();
+        world.break_news();
+        world.relay_silent.set(false);
+        until("drained", || ["e0", "e1", "e2"].iter().all(|gone| !held_somewhere(&fleet, gone))).await;
+        let after: Vec<usize> = (0..4).map(messages).collect();
+        // One for the drains, one more where the proxy was bound anew after the news had broken off.
+        assert!(before.iter().zip(&after).all(|(before, after)| after - before <= 3), "{before:?} {after:?}");
+    });
+}
+
+#[test]
+fn after_silent_news_what_stands_is_all_there_is_and_who_came_again_unheard_is_bound_anew() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        let world = &fleet.world;
+        world.relay_silent.set(true);
+        world.leave(0);
+        world.leave(1);
+        world.join(1, "west", 10.0);
+        until("the silence noticed", || pilot.logged("news broke off")).await;
+        world.relay_silent.set(false);
+        until("bound anew", || bound(&fleet, 1)).await;
+        let calls = world.calls.borrow().len();
+        world.set_health("e1", "leaving");
+        until("drained", || world.calls.borrow().len() > calls && !pilot.logged("stopped at")).await;
+        world.join(0, "east", 10.0);
+        until("back", || bound(&fleet, 0)).await;
+    });
+}
+
+#[test]
+fn a_proxy_that_comes_twice_without_leaving_is_bound_twice() {
+    play(async {
+        let (fleet, _pilot) = stage(4).await;
+        fleet.world.join(2, "east", 10.0);
+        until("bound again", || bound(&fleet, 2)).await;
+    });
+}
+
+#[test]
+fn a_silent_watch_is_ended_in_time_and_the_list_followed_again() {
+    play(async {
+        let (fleet, pilot) = stage(6).await;
+        fleet.world.discovery_silent.set(true);
+        fleet.world.set_health("e0", "leaving");
+        until("the silence noticed", || pilot.logged("no answer in time")).await;
+        fleet.world.discovery_silent.set(false);
+        until("drained", || !held_somewhere(&fleet, "e0")).await;
+    });
+}
+
+#[test]
+fn a_list_that_cannot_be_read_or_that_goes_back_costs_only_its_connection() {
+    play(async {
+        let (fleet, pilot) = stage(6).await;
+        let bad_entry = r#"{"seq":99,"whole":false,"hosts":[{"host":"e1","dial":"nowhere","site":"east"}]}"#;
+        let stories = [
+            ("{\"seq\":98,\"whole\":true,", "EOF"),
+            (bad_entry, "not admitted"),
+            (r#"{"seq":3,"whole":false,"hosts":[]}"#, "do not follow"),
+        ];
+        for (answer, logged) in stories {
+            *fleet.world.false_list.borrow_mut() = Some(answer.to_owned());
+            fleet.world.set_health("e5", "active");
+            until(logged, || pilot.logged(logged)).await;
+        }
+        *fleet.world.false_list.borrow_mut() = None;
+        fleet.world.set_health("e0", "leaving");
+        until("drained", || !held_somewhere(&fleet, "e0")).await;
+        assert!(held_somewhere(&fleet, "e1"));
+    });
+}
+
+#[test]
+fn an_endpoint_that_came_back_is_cold_by_the_clock_of_the_list_and_found_at_its_new_address() {
+    play(async {
+        let (fleet, pilot) = stage(6).await;
+        fleet.world.set_health("e0", "left");
+        fleet.stop("e0");
+        until("gone", || !held_somewhere(&fleet, "e0")).await;
+        fleet.endpoint("e0", "east", "large", 20.0).await.unwrap();
+        report_until(&fleet, &pilot, "back", || held_somewhere(&fleet, "e0")).await;
+        let tables = fleet.world.tables.borrow();
+        let lines = tables.values().find(|lines| lines.contains_key("e0")).unwrap();
+        assert!(lines["e0"] < lines["e2"] / 2.0, "{lines:?}");
+    });
+}
+
+#[test]
+fn endpoints_that_hang_or_fail_are_shut_out_by_probes_and_let_in_again() {
+    play(async {
+        let (fleet, pilot) = stage(8).await;
+        let shut_out = [("e0", State::Hung), ("e1", State::Failing)];
+        shut_out.into_iter().for_each(|(name, state)| fleet.world.set_state(name, state));
+        report_until(&fleet, &pilot, "shut out", || {
+            shut_out.iter().all(|(name, _)| !held_somewhere(&fleet, name))
+        })
+        .await;
+        assert!(fleet.world.probes.get() >= 4);
+        shut_out.into_iter().for_each(|(name, _)| fleet.world.set_state(name, State::Up));
+        report_until(&fleet, &pilot, "let in", || {
+            shut_out.iter().all(|(name, _)| held_somewhere(&fleet, name))
+        })
+        .await;
+    });
+}
+
+#[test]
+fn bad_frames_cost_their_connection_and_nothing_else() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        let texts = [
+            "no JSON",
+            "[]",
+            r#"{"locality":"east"}"#,
+            r#"{"type":"shout"}"#,
+            r#"{"type":"agent","locality":"south"}"#,
+            r#"{"type":"demand","node":1,"route":"lookup","total":-1,"interval":1000}"#,
+            r#"{"type":"demand","node":4,"route":"lookup","total":1,"interval":1000}"#,
+            r#"{"type":"demand","node":0.5,"route":"lookup","total":1,"interval":1000}"#,
+            r#"{"type":"demand","node":1,"route":"nothing","total":1,"interval":1000}"#,
+            r#"{"type":"demand","node":1,"route":"lookup","total":1e999,"interval":1000}"#,
+            r#"{"type":"demand","node":1,"route":"lookup","total":1,"interval":1e300}"#,
+            r#"{"type":"demand","node":1,"route":"lookup","interval":1000}"#,
+            r#"{"type":"outcomes","locality":"east","endpoint":"e0","total":"7","errors":0,"interval":1000}"#,
+        ];
+        for text in texts {
+            let mut frame = (text.len() as u32).to_le_bytes().to_vec();
+            frame.extend(text.bytes());
+            pilot.assert_closes(&frame).await;
+        }
+        pilot.assert_closes(&[0xff; 8]).await;
+        pilot.assert_closes(b"\x10\0\0\0{\"type\":").await;
+        // What is not known is skipped, and sums of an endpoint that is not listed are, too.
+        let mut stream = TcpStream::connect(pilot.listen).await.unwrap();
+        for more in [
+            json!({"type": "agent", "locality": "east", "colour": "red"}),
+            json!({"type": "outcomes", "locality": "east", "endpoint": "e9", "total": 7, "errors": 0,
+                "rtt": 3.5, "interval": 1000, "metrics": {"busy": 0.5, "mood": "good"}}),
+        ] {
+            stream.write_all(&frame(&more)).await.unwrap();
+        }
+        assert_answers(&mut stream).await;
+        assert!((0..4).all(|node| bound(&fleet, node)));
+    });
+}
+
+#[test]
+fn silent_strangers_keep_nobody_out() {
+    play(async {
+        let (_fleet, pilot) = stage(4).await;
+        let mut silent = Vec::new();
+        for _ in 0..200 {
+            silent.push(TcpStream::connect(pilot.listen).await.unwrap());
+        }
+        pilot.assert_alive().await;
+        let closed = timeout(AT_MOST, silent[0].read(&mut [0])).await;
+        assert!(matches!(closed.expect("closed"), Ok(0) | Err(_)));
+    });
+}
+
+#[test]
+fn killed_and_started_again_it_follows_discovery_and_not_what_it_last_knew() {
+    play(async {
+        let (fleet, mut pilot) = stage(6).await;
+        let old = fleet.world.list(None);
+        pilot.process.kill().await.unwrap();
+        fleet.world.set_health("e0", "left");
+        (0..4).for_each(|node| fleet.world.leave(node));
+        fleet.world.tables.borrow_mut().clear();
+        (0..4).for_each(|node| fleet.world.join(node, zone(node), 10.0));
+        let _again = Pilot::start(&fleet, old).await;
+        until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
+        until("gone", || !held_somewhere(&fleet, "e0")).await;
+    });
+}
+
+#[test]
+fn it_tells_its_counts_when_asked_and_ends_cleanly_at_once_when_told() {
+    play(async {
+        let (fleet, mut pilot) = stage(4).await;
+        // Neither a peer that is silent nor a call under way is waited for.
+        fleet.world.relay_silent.set(true);
+        fleet.world.discovery_silent.set(true);
+        pilot.assert_alive().await;
+        pilot.signal("-USR1");
+        until("counts", || pilot.logged("alive answered 1;")).await;
+        pilot.log.borrow_mut().clear();
+        pilot.signal("-TERM");
+        let ended = timeout(Duration::from_millis(700), pilot.process.wait()).await;
+        assert!(ended.expect("in time, before it would be killed").unwrap().success());
+        until("counts", || pilot.logged("alive answered 1;")).await;
+    });
+}
+
+#[test]
+fn a_bad_configuration_ends_it_with_one_line_that_says_what_is_wrong() {
+    play(async {
+        let good = include_str!("../../examples/pilot.json");
+        let stories = [
+            ("{", "EOF"),
+            (&good.replace("\"seed\"", "\"sead\""), "missing field `seed`"),
+            (&good.replace("8c1f30d27a5be964", "eight"), "seed"),
+            (&good.replace("127.0.0.1:9402", "here"), "socket address"),
+            (&good.replace("\"domain\"", "\"domaine\""), "field 'domain' is missing"),
+            (&good.replace("\"probes\": true", "\"probes\": 7"), "field 'probes' is not true or false"),
+        ];
+        for (text, expected) in stories {
+            let ended = timeout(AT_MOST, program(text).output()).await.expect("an end").unwrap();
+            let error = String::from_utf8(ended.stderr).unwrap();
+            assert!(!ended.status.success() && error.lines().count() == 1, "{error}");
+            assert!(error.contains(expected), "{error}");
+        }
+    });
+}
