Levels may use three quarters of a proxy's messages; moves keep to half

Ruled out: lost or late calls (all answered within 1 ms), late sums, the 12 messages themselves (8 at most). The exception is small: a table with a level to tell may use nine of twelve messages, spaced as drains are; a drain still waits one spacing at most. A story fails without it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,8 +28,9 @@
 const COPIES: usize = 2;
 const SCANT: f64 = 0.15;
 const USUAL_GAIN: f64 = 0.1;
-/// Of the messages a proxy may get, the part open to moves, levels and easing; drains may use all.
+/// The part of a proxy's messages open to moves and easing; to levels, as refusals cost more; drains use all.
 const FOR_MOVES: f64 = 0.5;
+const FOR_LEVELS: f64 = 0.75;
 /// The part that withdrawals may fill of the lines that may wait, all else half of it: a drain must not wait
 /// behind them. What no proxy has confirmed may wait still.
 const QUEUE_PART: f64 = 0.8;
@@ -257,8 +258,7 @@
         if end == ProbeEnd::Answered {
             (fleet.answers[e], fleet.strikes[e]) = (fleet.answers[e] + 1, fleet.strikes[e] * FADE);
         } else if end != ProbeEnd::TurnedAway {
-            fleet.answers[e] = 0;
-            fleet.strikes[e] += if jam { 0.0 } else { 1.0 };
+            (fleet.answers[e], fleet.strikes[e]) = (0, fleet.strikes[e] + if jam { 0.0 } else { 1.0 });
         }
         self.settle(now)
     }
@@ -321,8 +321,7 @@
         self.state.failing = failed / tries.max(f64::MIN_POSITIVE);
         self.state.tries = tries.max(self.state.tries + STATE_GAIN * (tries - self.state.tries));
         for (e, fresh) in heard.into_iter().enumerate() {
-            let ramping = self.ramping(e);
-            let fleet = &mut self.fleet;
+            let (ramping, fleet) = (self.ramping(e), &mut self.fleet);
             let (good, failed) = (fleet.good[e], fleet.failed[e]);
             // What was said before does not show the heat of now.
             fleet.reported[e] = fleet.reported[e].filter(|_| good + failed > 0.0);
@@ -682,8 +681,9 @@
     fn moved_table(&self) -> Option<usize> {
         let used = |&table: &usize| !self.site.sliced && !self.pools[table / self.groups.len()].is_empty();
         let moved = |&table: &usize| {
-            let changed = !self.tables[table].due.is_empty() || !self.levels_worth_telling(table).is_empty();
-            changed && self.fits(table, FOR_MOVES, QUEUE_PART / 2.0, false)
+            let (levels, due) = (self.levels_worth_telling(table), &self.tables[table].due);
+            let messages = if levels.is_empty() { FOR_MOVES } else { FOR_LEVELS };
+            levels.len() + due.len() > 0 && self.fits(table, messages, QUEUE_PART / 2.0, false)
         };
         let tables = (0..self.tables.len()).filter(used).filter(moved);
         tables.min_by_key(|&table| self.tables[table].pushed)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -264,6 +264,21 @@
     assert!(host.levels[&1].0 < 1.0, "{:?}", host.levels);
 }
 
+#[test]
+fn levels_that_open_again_do_not_wait_until_moves_leave_messages() {
+    let mut host = Host::running(deployment(), 8);
+    host.seconds(10, 15.0, |e| (e < 8).then_some((10.0, 0.0, 0.5)));
+    host.seconds(4, 45.0, |e| (e < 8).then_some((20.0, 2.0, 1.0)));
+    assert!(host.levels[&1].0 < 0.9, "{:?}", host.levels);
+    // Endpoints come and go, each a message, until moves have used up their part.
+    for come in 8..12 {
+        host.list(false, &[listed(come, 0)]);
+        host.quiet(2);
+    }
+    host.seconds(3, 15.0, |e| (e < 12).then_some((8.0, 0.0, 0.3)));
+    assert_eq!(host.levels[&1].0, 1.0);
+}
+
 #[test]
 fn drains_in_a_row_each_leave_within_the_grace_under_the_message_cap() {
     let mut host = Host::running(deployment(), 20);
