--- a/pilot/src/relay.rs
+++ b/pilot/src/relay.rs
@@ -27,7 +27,7 @@
 /// Between tries, a little of it by chance so that pilots do not come in step; longer after each failure, as a
 /// relay out of reach still counts the connections that it could not see end.
 const FIRST_PAUSE_MS: u64 = 20;
-const LONGEST_PAUSE_MS: u64 = 320;
+const LONGEST_PAUSE_MS: u64 = 640;
 
 /// A connection to the relay that speaks in lines.
 struct Link {
