--- a/pilot/src/collectors.rs
+++ b/pilot/src/collectors.rs
@@ -225,6 +225,7 @@
         let oldest = house.borrow().strangers.first_key_value().map(|(_, oldest)| oldest.clone());
         if let Some(oldest) = oldest.filter(|_| house.borrow().strangers.len() >= STRANGERS) {
             oldest.abort();
+            counters::STRANGERS.add(1);
             tokio::task::yield_now().await;
         }
         let visit = Visit { number, house: house.clone() };
--- a/pilot/src/relay/news.rs
+++ b/pilot/src/relay/news.rs
@@ -60,6 +60,7 @@
 
     async fn left(&mut self, proxy: u32) {
         if self.proxies.remove(&proxy) {
+            counters::LEFT.add(1);
             self.outbox.forget(proxy);
             self.desk.tell(Box::new(move |seat, now| seat.pilot.left(now, ProxyId(proxy)))).await;
         }
@@ -81,6 +82,7 @@
         let standing = self.standing.as_mut().map(|told| told.insert(node)).is_some();
         if standing && self.proxies.contains(&node) {
             // It may have left and come again unheard, and be bound to none of our tables then.
+            counters::DOUBTED.add(1);
             self.desk
                 .tell(Box::new(move |seat, _| {
                     seat.pilot.doubted(proxy);
@@ -92,6 +94,7 @@
         // One that comes twice has left in between.
         self.left(node).await;
         self.proxies.insert(node);
+        counters::JOINED.add(1);
         self.desk.tell(Box::new(move |seat, now| seat.pilot.joined(now, proxy, zone, rate))).await;
         Some(())
     }
