A slow 503 is a silent probe, a quick one a refusal that only idleness confirms

Checked: headers and bodies do not tell a full endpoint from a failing one. Now a 503 after 300 ms is a silent probe; one at once is a refusal, and the module takes it for a fault only where the endpoint reports under half busy (the constant IDLE was there).

--- a/pilot/src/endpoints.rs
+++ b/pilot/src/endpoints.rs
@@ -11,13 +11,15 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::counters;
 use crate::decide::Desk;
 
 /// Longer than a healthy endpoint's queue, shorter than the pause until the next probe is worth sending.
 const ANSWER_WITHIN: Duration = Duration::from_millis(600);
+/// A refusal that took longer was one of waiting in line: the endpoint gave the probe up by its own time-out.
+const REFUSED_WITHIN: Duration = Duration::from_millis(300);
 /// Probes under way; each holds a descriptor.
 const AT_ONCE: usize = 128;
 
@@ -41,8 +43,12 @@
             _ = connection => None,
         }
     };
+    let sent = Instant::now();
     match timeout(ANSWER_WITHIN, answer).await {
         Ok(Some(answer)) if answer.status() == StatusCode::OK => ProbeEnd::Answered,
+        Ok(Some(answer)) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            if sent.elapsed() < REFUSED_WITHIN { ProbeEnd::Refused } else { ProbeEnd::Silent }
+        }
         Ok(_) => ProbeEnd::Failed,
         Err(_) => ProbeEnd::Silent,
     }
--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -296,6 +296,9 @@
 fn endpoints_that_hang_or_fail_are_shut_out_by_probes_and_let_in_again() {
     play(async {
         let (fleet, pilot) = stage(8).await;
+        // A refusal alone may come of a queue: only sums that show the endpoint idle make it a fault.
+        let seconds = Cell::new(0);
+        report_until(&fleet, &pilot, "seconds", || seconds.replace(seconds.get() + 1) >= 2).await;
         let shut_out = [("e0", State::Hung), ("e1", State::Failing)];
         shut_out.into_iter().for_each(|(name, state)| fleet.world.set_state(name, state));
         report_until(&fleet, &pilot, "shut out", || {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,7 +135,9 @@
     Answered,
     /// Turned away: draining, or probed by too many at once. Says nothing about health.
     TurnedAway,
-    /// Refused, broken off, or answered with an error.
+    /// Answered at once that it will not, being full or failing: which of them, it does not say.
+    Refused,
+    /// Unreachable, broken off, or answered with an error.
     Failed,
     /// Nothing came back in time: hung, or only waiting in a queue.
     Silent,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -253,11 +253,13 @@
     pub fn probed(&mut self, now: Duration, endpoint: EndpointId, end: ProbeEnd) -> Orders {
         let (e, fleet) = (endpoint.0 as usize, &mut self.fleet);
         fleet.probing[e] = false;
-        // A probe waits in line as calls do: where some are answered, its silence shows a jam, not a fault.
+        // A probe waits in line as calls do: where some are answered, its silence shows a jam, not a fault;
+        // so does its refusal, unless there is no queue to blame.
+        let idle = fleet.reported[e].is_some_and(|busy| busy < IDLE);
         let jam = end == ProbeEnd::Silent && !fleet.unlisted[e] && fleet.failed_part(e) < SILENT_PART;
         if end == ProbeEnd::Answered {
             (fleet.answers[e], fleet.strikes[e]) = (fleet.answers[e] + 1, fleet.strikes[e] * FADE);
-        } else if end != ProbeEnd::TurnedAway {
+        } else if end != ProbeEnd::TurnedAway && (idle || end != ProbeEnd::Refused) {
             (fleet.answers[e], fleet.strikes[e]) = (0, fleet.strikes[e] + if jam { 0.0 } else { 1.0 });
         }
         self.settle(now)
@@ -273,10 +275,9 @@
     }
 
     fn settle(&mut self, now: Duration) -> Orders {
-        let mut orders = Orders::default();
+        let (mut orders, marked_at) = (Orders::default(), self.marked_at);
         self.now = now;
         self.let_pace_recover(self.site.lines_per_second * CHANNEL_PART, MEMORY);
-        let marked_at = self.marked_at;
         while let Some((rule, subject)) = RULES.iter().find_map(|rule| Some((rule, (rule.when)(self)?))) {
             (rule.then)(self, subject, &mut orders);
         }
@@ -345,15 +346,14 @@
                 fleet.busy[e] += (busy - fleet.busy[e]) / fleet.rounds[e];
             }
         }
+        self.fleet.common = lower_quarter(self.fleet.opened().map(|e| self.fleet.failed_part(e)).collect());
         let (fleet, opened) = (&self.fleet, self.fleet.opened());
-        let common = lower_quarter(opened.clone().map(|e| fleet.failed_part(e)).collect());
         // Many that fail some of their calls without being busy are short of something else: connections.
         let idle = |e: usize| fleet.reported[e].is_some_and(|busy| busy < IDLE);
         let short = |&e: &usize| idle(e) && (FAILED_PART..SILENT_PART).contains(&fleet.failed_part(e));
         if opened.clone().filter(short).count() as f64 > PILING * opened.count() as f64 {
             self.crowded_until = self.now + MEMORY;
         }
-        self.fleet.common = common;
         self.estimate_capacity();
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -138,6 +138,19 @@
     assert_eq!(host.share(0, 0), 0.0);
 }
 
+#[test]
+fn a_refused_probe_confirms_where_no_queue_is_to_blame() {
+    for (busy, shut_out) in [(0.2, true), (0.9, false)] {
+        let mut host = Host::running(deployment(), 6);
+        host.seconds(10, 15.0, CALM);
+        host.ends.insert(0, ProbeEnd::Refused);
+        host.seconds(8, 15.0, |e| {
+            (e < 6).then_some(if e == 0 { (10.0, 6.0, busy) } else { (10.0, 0.0, 0.5) })
+        });
+        assert_eq!(host.tables[&0].contains_key(&0), !shut_out);
+    }
+}
+
 #[test]
 fn nobody_is_shut_out_when_all_fail_alike_and_never_all() {
     let mut host = Host::running(deployment(), 6);
