The watch goes on from the known version: no list without news splits anew

Cause: discovery.rs fetched the whole list though `known` was current; the module took it for a change and split anew 100 ms later, over the demand of the proxies that had come by then and over capacities nobody had measured, so halls roamed into each other. Now the first call is a watch from the known version, which tells what has changed since, or the whole list if that is long ago. A story checks it.

--- a/examples/src/discovery.rs
+++ b/examples/src/discovery.rs
@@ -25,6 +25,7 @@
 async fn answer(query: String, world: Rc<World>) -> Response<Full<Bytes>> {
     world.watches.set(world.watches.get() + 1);
     let after = number(&query, "after");
+    world.first_asked.set(world.first_asked.get().or(Some(after)));
     if let Some(seq) = after {
         let wait = Duration::from_millis(number(&query, "wait_ms").unwrap_or(0).min(60_000));
         let newer = async {
--- a/examples/src/world.rs
+++ b/examples/src/world.rs
@@ -64,6 +64,8 @@
     pub calls: RefCell<Vec<Vec<Value>>>,
     pub probes: Cell<usize>,
     pub watches: Cell<usize>,
+    /// What the first call for the list asked for: all, or what came after this version.
+    pub first_asked: Cell<Option<Option<u64>>>,
     pub subscriptions: Cell<usize>,
     /// Discovery takes calls and answers none; so does the relay, its news included.
     pub discovery_silent: Cell<bool>,
--- a/pilot/src/discovery.rs
+++ b/pilot/src/discovery.rs
@@ -64,6 +64,11 @@
 }
 
 impl ListMessage {
+    /// The version that changes may follow on; a part of a list is no base for them.
+    pub fn base(&self) -> Option<u64> {
+        self.whole.then_some(self.seq)
+    }
+
     /// Entries that cannot be admitted are skipped, each by itself: the others still hold.
     pub fn admit(&self, places: &Places, roster: &mut Roster) -> Vec<Listed> {
         let mut admit = |host: &RawValue| {
@@ -137,18 +142,20 @@
 
 /// Where the list is followed from, and how.
 pub struct Watch {
-    pub address: SocketAddr,
-    pub places: Rc<Places>,
-    pub desk: Desk,
+    address: SocketAddr,
+    places: Rc<Places>,
+    desk: Desk,
     /// The version last heard of.
-    pub seq: Option<u64>,
+    seq: Option<u64>,
     /// Before the next try.
-    pub pause: Duration,
+    pause: Duration,
 }
 
 impl Watch {
-    pub fn new(address: SocketAddr, places: Rc<Places>, desk: Desk) -> Watch {
-        Watch { address, places, desk, seq: None, pause: FIRST_PAUSE }
+    /// Goes on from the version that is known: a whole list that says nothing new would have the module split
+    /// anew in the middle of the proxies' coming, over the demand of those that are there.
+    pub fn new(address: SocketAddr, places: Rc<Places>, desk: Desk, seq: Option<u64>) -> Watch {
+        Watch { address, places, desk, seq, pause: FIRST_PAUSE }
     }
 
     async fn hear(&mut self) -> Res<()> {
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -16,7 +16,7 @@
 
 use dahliaroad::Pilot;
 use decide::{Desk, Roster, Seat};
-use discovery::{Places, Watch};
+use discovery::{ListMessage, Places, Watch};
 use relay::Outbox;
 use start::Start;
 use tokio::net::TcpListener;
@@ -49,8 +49,9 @@
     let (desk, calls) = Desk::open();
     let (probes, probes_waiting) = mpsc::channel(PROBES_WAITING);
     let seat = Seat { pilot: Pilot::new(opening.deployment), roster: Roster::default() };
-    let watch =
-        Watch::new(discovery, Rc::new(Places { zones: zones.clone(), kinds: opening.kinds }), desk.clone());
+    let places = Rc::new(Places { zones: zones.clone(), kinds: opening.kinds });
+    let base = known.as_ref().and_then(ListMessage::base);
+    let watch = Watch::new(discovery, places, desk.clone(), base);
     let terms = relay::Terms { zones: zones.clone(), proxies };
     let joined = relay::Joined::new(relay, terms, outbox.clone(), desk.clone());
     let mut tasks = JoinSet::new();
--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -379,9 +379,13 @@
         (0..4).for_each(|node| fleet.world.leave(node));
         fleet.world.tables.borrow_mut().clear();
         (0..4).for_each(|node| fleet.world.join(node, zone(node), 10.0));
+        fleet.world.first_asked.set(None);
+        let seq = old["seq"].as_u64();
         let _again = Pilot::start(&fleet, old).await;
         until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
         until("gone", || !held_somewhere(&fleet, "e0")).await;
+        // The whole list once more would have it split anew while the proxies come.
+        assert_eq!(fleet.world.first_asked.get(), Some(seq));
     });
 }
 
