--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -354,6 +354,26 @@
     });
 }
 
+#[test]
+fn a_frame_in_pieces_is_put_together_and_one_who_never_reads_holds_nobody_up() {
+    play(async {
+        let (_fleet, pilot) = stage(4).await;
+        let mut pieces = TcpStream::connect(pilot.listen).await.unwrap();
+        pieces.set_nodelay(true).unwrap();
+        for byte in frame(&json!({"type": "agent", "locality": "west"})) {
+            pieces.write_all(&[byte]).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        assert_answers(&mut pieces).await;
+        let mut deaf = TcpStream::connect(pilot.listen).await.unwrap();
+        let questions = frame(&json!({"type": "probe"})).repeat(10_000);
+        let wait = async { while deaf.write_all(&questions).await.is_ok() {} };
+        timeout(AT_MOST, wait).await.expect("closed");
+        pilot.assert_alive().await;
+        assert_answers(&mut pieces).await;
+    });
+}
+
 #[test]
 fn silent_strangers_keep_nobody_out() {
     play(async {
