--- a/pilot/src/decide.rs
+++ b/pilot/src/decide.rs
@@ -131,6 +131,7 @@
             for call in std::mem::take(&mut taken) {
                 let orders = call(&mut seat, now);
                 outbox.send(&orders, &seat.roster);
+                // The list need not be asked for: a watch stands all the time.
                 orders.notes.iter().for_each(|note| log::info!("{note}"));
                 wake_at = orders.wake_after.map_or(wake_at, |after| Instant::now() + after);
                 for endpoint in orders.probes {
