--- a/examples/src/discovery.rs
+++ b/examples/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: the whole list, and watches that hold until something changes.
 
-use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
     value.and_then(|value| value.parse().ok())
 }
 
-async fn answer(query: String, world: Rc<World>) -> Response<Full<Bytes>> {
+async fn answer(query: String, world: Rc<World>) -> io::Result<Response<Full<Bytes>>> {
     world.watches.set(world.watches.get() + 1);
     let after = number(&query, "after");
     world.first_asked.set(world.first_asked.get().or(Some(after)));
@@ -38,8 +38,11 @@
     if world.discovery_silent.get() {
         std::future::pending::<()>().await;
     }
+    if world.discovery_breaks.take() {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
     let told = world.false_list.borrow().clone();
-    Response::new(Full::from(told.unwrap_or_else(|| world.list(after).to_string())))
+    Ok(Response::new(Full::from(told.unwrap_or_else(|| world.list(after).to_string()))))
 }
 
 pub async fn serve(listener: TcpListener, world: Rc<World>) {
@@ -48,8 +51,7 @@
         spawn_local(async move {
             let service = service_fn(|call: Request<Incoming>| {
                 let query = call.uri().query().unwrap_or_default().to_owned();
-                let world = world.clone();
-                async move { Ok::<_, Infallible>(answer(query, world).await) }
+                answer(query, world.clone())
             });
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
--- a/examples/src/world.rs
+++ b/examples/src/world.rs
@@ -70,6 +70,8 @@
     /// Discovery takes calls and answers none; so does the relay, its news included.
     pub discovery_silent: Cell<bool>,
     pub relay_silent: Cell<bool>,
+    /// The next answer's connection breaks instead.
+    pub discovery_breaks: Cell<bool>,
     /// Discovery answers so, whatever is asked.
     pub false_list: RefCell<Option<String>>,
     pub(crate) readers: RefCell<Vec<mpsc::UnboundedSender<Option<String>>>>,
--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -252,6 +252,20 @@
     });
 }
 
+#[test]
+fn a_watch_that_breaks_off_as_something_changes_goes_on_from_where_it_was() {
+    play(async {
+        let (fleet, pilot) = stage(6).await;
+        fleet.world.first_asked.set(None);
+        let seq = fleet.world.seq.get();
+        until("a watch", || fleet.world.first_asked.get() == Some(Some(seq))).await;
+        fleet.world.discovery_breaks.set(true);
+        fleet.world.set_health("e0", "leaving");
+        until("drained", || !held_somewhere(&fleet, "e0")).await;
+        assert_eq!(pilot.count("watches lost").await, 1);
+    });
+}
+
 #[test]
 fn a_list_that_cannot_be_read_or_that_goes_back_costs_only_its_connection() {
     play(async {
