SIGHUP reads the configuration anew and moves all links before the old ones go

Cause: no handler for SIGHUP, whose default ends the program (pilot/src/main.rs, serve); addresses were fixed in Watch, Joined and Caller. Now the file is read and checked whole; discovery, calls and news learn of a new address through a watch channel, open their link there and only then give up the old one. Who stands at the new relay is doubted and bound anew. Without the change the story ends with its pilot.

--- a/examples/src/discovery.rs
+++ b/examples/src/discovery.rs
@@ -11,8 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::world::World;
@@ -45,15 +44,10 @@
     Ok(Response::new(Full::from(told.unwrap_or_else(|| world.list(after).to_string()))))
 }
 
-pub async fn serve(listener: TcpListener, world: Rc<World>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let world = world.clone();
-        spawn_local(async move {
-            let service = service_fn(|call: Request<Incoming>| {
-                let query = call.uri().query().unwrap_or_default().to_owned();
-                answer(query, world.clone())
-            });
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
+pub async fn speak(stream: TcpStream, world: Rc<World>) {
+    let service = service_fn(|call: Request<Incoming>| {
+        let query = call.uri().query().unwrap_or_default().to_owned();
+        answer(query, world.clone())
+    });
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -7,22 +7,54 @@
 mod relay;
 mod world;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use tokio::net::TcpListener;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
+use tokio::time::sleep;
 
 pub use collector::{Collector, frame};
 pub use relay::Fault;
 pub use world::{Proxy, State, World};
 
+/// How long connections outlive the address that they were made to.
+const OUTLIVES: Duration = Duration::from_millis(1500);
+
+/// Takes connections until the address is given up, and closes those that are open a little later.
+async fn keep(
+    listener: TcpListener,
+    mut kept: watch::Receiver<()>,
+    world: Rc<World>,
+    speak: impl AsyncFn(TcpStream, Rc<World>) + Clone + 'static,
+) {
+    let mut open = JoinSet::new();
+    loop {
+        tokio::select! {
+            _ = kept.changed() => break,
+            taken = listener.accept() => {
+                let Ok((stream, _)) = taken else { return };
+                let (world, speak) = (world.clone(), speak.clone());
+                open.spawn_local(async move { speak(stream, world).await });
+                while open.try_join_next().is_some() {}
+            }
+        }
+    }
+    drop(listener);
+    sleep(OUTLIVES).await;
+    world.given_up.set(world.given_up.get() + 1);
+}
+
 pub struct Fleet {
     pub world: Rc<World>,
-    pub discovery: SocketAddr,
-    pub relay: SocketAddr,
+    pub discovery: Cell<SocketAddr>,
+    pub relay: Cell<SocketAddr>,
+    /// While this lives, the addresses are kept.
+    kept: RefCell<watch::Sender<()>>,
     endpoints: RefCell<Vec<(String, AbortHandle)>>,
 }
 
@@ -30,11 +62,27 @@
     /// Starts discovery and the relay at these addresses; all runs on the caller's thread.
     pub async fn start(discovery: SocketAddr, relay: SocketAddr, classes: &[&str]) -> io::Result<Fleet> {
         let world = Rc::new(World::new(classes));
+        let fleet = Fleet {
+            world,
+            discovery: Cell::new(discovery),
+            relay: Cell::new(relay),
+            kept: RefCell::default(),
+            endpoints: RefCell::default(),
+        };
+        fleet.move_to(discovery, relay).await?;
+        Ok(fleet)
+    }
+
+    /// Discovery and the relay are at these addresses from now on; what was before is given up.
+    pub async fn move_to(&self, discovery: SocketAddr, relay: SocketAddr) -> io::Result<()> {
         let (lists, calls) = (TcpListener::bind(discovery).await?, TcpListener::bind(relay).await?);
-        let (discovery, relay) = (lists.local_addr()?, calls.local_addr()?);
-        spawn_local(discovery::serve(lists, world.clone()));
-        spawn_local(relay::serve(calls, world.clone()));
-        Ok(Fleet { world, discovery, relay, endpoints: RefCell::default() })
+        self.discovery.set(lists.local_addr()?);
+        self.relay.set(calls.local_addr()?);
+        let kept = watch::Sender::new(());
+        spawn_local(keep(lists, kept.subscribe(), self.world.clone(), discovery::speak));
+        spawn_local(keep(calls, kept.subscribe(), self.world.clone(), relay::speak));
+        self.kept.replace(kept);
+        Ok(())
     }
 
     /// Starts an endpoint, listed or not yet, at an address of its own.
--- a/examples/src/main.rs
+++ b/examples/src/main.rs
@@ -14,7 +14,7 @@
 use toyfleet::{Collector, Fleet, State};
 
 const HELP: &str = "commands: kill NAME, hang NAME, fail NAME, start NAME, drain NAME, leave PROXY, join PROXY, \
-tables, quit";
+move, tables, quit";
 
 type Tables = BTreeMap<u32, BTreeMap<String, f64>>;
 
@@ -50,6 +50,12 @@
             let known = fleet.world.proxies.borrow().get(&node).cloned().ok_or("no such proxy")?;
             fleet.world.join(node, &known.zone, known.rate);
         }
+        ("move", _) => {
+            let anew = |old: SocketAddr| SocketAddr::new(old.ip(), 0);
+            fleet.move_to(anew(fleet.discovery.get()), anew(fleet.relay.get())).await?;
+            let (discovery, relay) = (fleet.discovery.get(), fleet.relay.get());
+            println!("now discovery is at {discovery} and the relay (store) at {relay}");
+        }
         ("tables", _) => print_tables(&fleet.world.tables.borrow()),
         ("quit", _) => return Ok(false),
         _ => println!("{HELP}"),
--- a/examples/src/relay.rs
+++ b/examples/src/relay.rs
@@ -7,9 +7,8 @@
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
 use tokio::time::interval;
 
 use crate::world::World;
@@ -59,7 +58,7 @@
     stand
 }
 
-async fn speak(stream: TcpStream, world: &World) -> io::Result<()> {
+async fn answer(stream: TcpStream, world: &World) -> io::Result<()> {
     let (mut stream, mut line) = (BufReader::new(stream), String::new());
     while stream.read_line(&mut line).await? > 0 {
         if world.relay_silent.get() {
@@ -95,9 +94,6 @@
     Ok(())
 }
 
-pub async fn serve(listener: TcpListener, world: Rc<World>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let world = world.clone();
-        spawn_local(async move { speak(stream, &world).await });
-    }
+pub async fn speak(stream: TcpStream, world: Rc<World>) {
+    let _ = answer(stream, &world).await;
 }
--- a/examples/src/world.rs
+++ b/examples/src/world.rs
@@ -74,6 +74,8 @@
     pub discovery_breaks: Cell<bool>,
     /// Discovery answers so, whatever is asked.
     pub false_list: RefCell<Option<String>>,
+    /// Addresses that discovery and the relay have left, with all that was open there closed.
+    pub given_up: Cell<usize>,
     pub(crate) readers: RefCell<Vec<mpsc::UnboundedSender<Option<String>>>>,
     pub stirred: Notify,
 }
--- a/pilot/src/counters.rs
+++ b/pilot/src/counters.rs
@@ -43,6 +43,9 @@
     PROBES: "probes sent",
     PROBES_ANSWERED: "probes answered well",
     TURNS: "turns of the decisions",
+    RENEWALS: "configurations taken over",
+    RENEWALS_BAD: "configurations refused",
+    MOVES: "links moved to a new address",
 }
 
 /// All counters in one line.
--- a/pilot/src/discovery.rs
+++ b/pilot/src/discovery.rs
@@ -18,6 +18,7 @@
 
 use crate::counters;
 use crate::decide::{Desk, Roster};
+use crate::start::Address;
 
 /// The agent is on this machine: what is not there by then is not coming.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
@@ -112,25 +113,26 @@
 
 type Res<T> = Result<T, String>;
 
-async fn connect(address: SocketAddr) -> Res<SendRequest<Empty<Bytes>>> {
+/// A connection to the agent, and where it leads.
+struct Link {
+    address: SocketAddr,
+    sender: SendRequest<Empty<Bytes>>,
+}
+
+async fn connect(address: SocketAddr) -> Res<Link> {
     let stream = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| "no connection in time")?.map_err(|error| error.to_string())?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
     // Ends when the sender is dropped.
     tokio::task::spawn_local(connection);
-    Ok(sender)
+    Ok(Link { address, sender })
 }
 
-async fn get(
-    sender: &mut SendRequest<Empty<Bytes>>,
-    host: SocketAddr,
-    path: &str,
-    wait: Duration,
-) -> Res<ListMessage> {
-    let call = Request::get(path).header(header::HOST, host.to_string()).body(Empty::new());
+async fn get(link: &mut Link, path: &str, wait: Duration) -> Res<ListMessage> {
+    let call = Request::get(path).header(header::HOST, link.address.to_string()).body(Empty::new());
     let call = call.map_err(|error| error.to_string())?;
-    let answer = timeout(wait + ANSWER_WITHIN, sender.send_request(call)).await;
+    let answer = timeout(wait + ANSWER_WITHIN, link.sender.send_request(call)).await;
     let answer = answer.map_err(|_| "no answer in time")?.map_err(|error| error.to_string())?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()));
@@ -142,7 +144,7 @@
 
 /// Where the list is followed from, and how.
 pub struct Watch {
-    address: SocketAddr,
+    address: Address,
     places: Rc<Places>,
     desk: Desk,
     /// The version last heard of.
@@ -154,18 +156,27 @@
 impl Watch {
     /// Goes on from the version that is known: a whole list that says nothing new would have the module split
     /// anew in the middle of the proxies' coming, over the demand of those that are there.
-    pub fn new(address: SocketAddr, places: Rc<Places>, desk: Desk, seq: Option<u64>) -> Watch {
+    pub fn new(address: Address, places: Rc<Places>, desk: Desk, seq: Option<u64>) -> Watch {
         Watch { address, places, desk, seq, pause: FIRST_PAUSE }
     }
 
     async fn hear(&mut self) -> Res<()> {
-        let mut sender = connect(self.address).await?;
+        let mut link = connect(self.address.now()).await?;
         loop {
             let (path, wait) = match self.seq {
                 None => ("/registry/instances".to_owned(), Duration::ZERO),
                 Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
             };
-            let list = get(&mut sender, self.address, &path, wait).await?;
+            let old = link.address;
+            let list = tokio::select! {
+                list = get(&mut link, &path, wait) => list?,
+                // It is asked from the same version on: what the old one was about to tell, it tells too.
+                new = self.address.moved(old, connect) => {
+                    counters::MOVES.add(1);
+                    link = new;
+                    continue;
+                }
+            };
             counters::LISTS.add(1);
             self.pause = FIRST_PAUSE;
             // Versions only go back where discovery began anew: what has changed since is not known then.
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -18,7 +18,7 @@
 use decide::{Desk, Roster, Seat};
 use discovery::{ListMessage, Places, Watch};
 use relay::Outbox;
-use start::Start;
+use start::{Renewal, Start};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -39,10 +39,12 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut ask = signal(SignalKind::user_defined1())?;
+    let mut renew = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(start.listen).await?;
     ::log::info!("{} listens on {}", start.name, listener.local_addr()?);
     let (calls_chance, news_chance) = (start.chance(1), start.chance(2));
-    let Start { opening, discovery, relay, known, .. } = start;
+    let renewal = Renewal::of(&start);
+    let Start { opening, known, .. } = start;
     let (zones, classes) = (opening.zones, opening.classes);
     let proxies = opening.deployment.proxies as u32;
     let outbox = Rc::new(Outbox::new(classes.clone()));
@@ -51,9 +53,9 @@
     let seat = Seat { pilot: Pilot::new(opening.deployment), roster: Roster::default() };
     let places = Rc::new(Places { zones: zones.clone(), kinds: opening.kinds });
     let base = known.as_ref().and_then(ListMessage::base);
-    let watch = Watch::new(discovery, places, desk.clone(), base);
+    let watch = Watch::new(renewal.discovery(), places, desk.clone(), base);
     let terms = relay::Terms { zones: zones.clone(), proxies };
-    let joined = relay::Joined::new(relay, terms, outbox.clone(), desk.clone());
+    let joined = relay::Joined::new(renewal.relay(), terms, outbox.clone(), desk.clone());
     let mut tasks = JoinSet::new();
     tasks.spawn_local(decide::run(seat, calls, outbox.clone(), probes, opening.turn));
     // What was last known of the list stands until discovery has answered.
@@ -62,7 +64,7 @@
     }
     tasks.spawn_local(watch.follow());
     tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, desk.clone()));
-    tasks.spawn_local(relay::carry_out(relay, outbox, desk.clone(), calls_chance));
+    tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, desk.clone(), calls_chance));
     tasks.spawn_local(joined.follow(news_chance));
     tasks.spawn_local(collectors::listen(listener, collectors::Terms { zones, classes, proxies }, desk));
     loop {
@@ -70,6 +72,7 @@
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
             _ = ask.recv() => ::log::info!("{}", counters::line()),
+            _ = renew.recv() => renewal.renew(),
             task = tasks.join_next() => return Err(ended(task)),
         }
     }
--- a/pilot/src/relay.rs
+++ b/pilot/src/relay.rs
@@ -31,6 +31,7 @@
 
 /// A connection to the relay that speaks in lines.
 struct Link {
+    address: SocketAddr,
     stream: BufReader<TcpStream>,
     line: Vec<u8>,
     used: Instant,
@@ -44,7 +45,7 @@
     async fn open(address: SocketAddr) -> io::Result<Link> {
         let stream = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream: BufReader::new(stream), line: Vec::new(), used: Instant::now() })
+        Ok(Link { address, stream: BufReader::new(stream), line: Vec::new(), used: Instant::now() })
     }
 
     async fn write(&mut self, line: &[u8]) -> io::Result<()> {
--- a/pilot/src/relay/calls.rs
+++ b/pilot/src/relay/calls.rs
@@ -1,7 +1,6 @@
 //! Commit calls: one at a time, so that orders arrive in the order in which they were given.
 
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use super::{ANSWER_WITHIN, Link, Pause, unreadable};
 use crate::counters;
 use crate::decide::Desk;
+use crate::start::Address;
 
 /// The relay closes idle connections, at some moment up to 10 s: one used just now is still good.
 const REUSED_WITHIN: Duration = Duration::from_secs(1);
@@ -43,7 +43,7 @@
 }
 
 struct Caller {
-    address: SocketAddr,
+    address: Address,
     link: Option<Link>,
     id: u64,
 }
@@ -51,11 +51,16 @@
 impl Caller {
     async fn relay(&mut self, orders: &[Order]) -> Outcome {
         let fresh = |link: &Link| link.used.elapsed() < REUSED_WITHIN;
-        let link = match self.link.take().filter(fresh) {
-            Some(link) => Ok(link),
-            None => Link::open(self.address).await,
+        let (address, old) = (self.address.now(), self.link.take().filter(fresh));
+        let link = match old {
+            Some(link) if link.address == address => Some(link),
+            // Where the relay has moved, the old way is good until the new one is up.
+            old => {
+                counters::MOVES.add(usize::from(old.is_some()));
+                Link::open(address).await.ok().or(old)
+            }
         };
-        let Ok(mut link) = link else { return Outcome::Unsent };
+        let Some(mut link) = link else { return Outcome::Unsent };
         self.id += 1;
         let id = self.id;
         let mut call = format!(r#"{{"jsonrpc":"2.0","id":{id},"method":"commit","params":{{"ops":["#);
@@ -135,7 +140,7 @@
     }
 }
 
-pub async fn carry_out(address: SocketAddr, outbox: Rc<Outbox>, desk: Desk, chance: ChaCha8Rng) {
+pub async fn carry_out(address: Address, outbox: Rc<Outbox>, desk: Desk, chance: ChaCha8Rng) {
     let mut caller = Caller { address, link: None, id: 0 };
     let mut pause = Pause::new(chance);
     loop {
--- a/pilot/src/relay/news.rs
+++ b/pilot/src/relay/news.rs
@@ -13,6 +13,7 @@
 use super::{ANSWER_WITHIN, Link, Outbox, Pause, unreadable};
 use crate::counters;
 use crate::decide::Desk;
+use crate::start::Address;
 
 /// Two signs of life missed, and one late.
 const SILENT: Duration = Duration::from_millis(2500);
@@ -42,9 +43,22 @@
     pub proxies: u32,
 }
 
+/// A connection on which news follows.
+async fn subscribe(address: SocketAddr) -> io::Result<Link> {
+    let mut link = Link::open(address).await?;
+    link.write(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"subscribe\"}\n").await?;
+    let line = link.read(ANSWER_WITHIN).await?;
+    match serde_json::from_slice(line) {
+        Ok(Told { result: Some(true), .. }) => {}
+        _ => return Err(unreadable(line)),
+    }
+    counters::SUBSCRIBED.add(1);
+    Ok(link)
+}
+
 /// Which proxies are joined, as far as news has told.
 pub struct Joined {
-    address: SocketAddr,
+    address: Address,
     terms: Terms,
     outbox: Rc<Outbox>,
     desk: Desk,
@@ -54,7 +68,7 @@
 }
 
 impl Joined {
-    pub fn new(address: SocketAddr, terms: Terms, outbox: Rc<Outbox>, desk: Desk) -> Joined {
+    pub fn new(address: Address, terms: Terms, outbox: Rc<Outbox>, desk: Desk) -> Joined {
         Joined { address, terms, outbox, desk, proxies: BTreeSet::new(), standing: None }
     }
 
@@ -120,27 +134,30 @@
     }
 
     async fn hear(&mut self, pause: &mut Pause) -> io::Result<()> {
-        let mut link = Link::open(self.address).await?;
-        link.write(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"subscribe\"}\n").await?;
-        let line = link.read(ANSWER_WITHIN).await?;
-        match serde_json::from_slice(line) {
-            Ok(Told { result: Some(true), .. }) => {}
-            _ => return Err(unreadable(line)),
-        }
-        counters::SUBSCRIBED.add(1);
+        let mut link = subscribe(self.address.now()).await?;
         pause.reset();
         self.standing = Some(BTreeSet::new());
         loop {
             let lull = if self.standing.is_some() { STANDING_LULL } else { SILENT };
-            let line = match link.read(lull).await {
+            let old = link.address;
+            let read = tokio::select! {
+                read = link.read(lull) => read.map(drop),
+                // Only now does the old one go; what it may have left unsaid, who stands at the new one tells.
+                new = self.address.moved(old, subscribe) => {
+                    counters::MOVES.add(1);
+                    (link, self.standing) = (new, Some(BTreeSet::new()));
+                    continue;
+                }
+            };
+            match read {
                 Err(error) if error.kind() == io::ErrorKind::TimedOut && self.standing.is_some() => {
                     self.close_standing().await;
                     continue;
                 }
                 read => read?,
-            };
+            }
             // After a line that cannot be read nothing that follows can be trusted to be whole.
-            let told = serde_json::from_slice(line).map_err(|_| unreadable(line))?;
+            let told = serde_json::from_slice(&link.line).map_err(|_| unreadable(&link.line))?;
             counters::NEWS.add(1);
             if self.admit(told).await.is_none() {
                 counters::BAD.add(1);
--- a/pilot/src/start.rs
+++ b/pilot/src/start.rs
@@ -1,15 +1,22 @@
-//! The configuration: what the platform tells a pilot at its start.
+//! The configuration: what the platform tells a pilot at its start, and on SIGHUP anew.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use dahliaroad_opening::{Fields, Opening, opening};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde_json::Value;
+use tokio::sync::watch;
+use tokio::time::sleep;
 
+use crate::counters;
 use crate::discovery::ListMessage;
 
+/// Between tries for a new address: what was at the old one goes soon.
+const PAUSE: Duration = Duration::from_millis(50);
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -18,6 +25,7 @@
     seed: String,
     store: Store,
     known: Option<ListMessage>,
+    limits: Option<Value>,
     settings: Value,
 }
 
@@ -34,6 +42,8 @@
     pub known: Option<ListMessage>,
     pub opening: Opening,
     seed: u64,
+    /// As written, by name: what holds for as long as the program runs.
+    fixed: Vec<(&'static str, Value)>,
 }
 
 impl Start {
@@ -48,6 +58,12 @@
         let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|error| format!("seed: {error}"))?;
         let opening = opening(Fields::of("settings", &file.settings)?)?;
+        let fixed = vec![
+            ("name", file.name.clone().into()),
+            ("listen", file.listen.to_string().into()),
+            ("limits", file.limits.unwrap_or_default()),
+            ("settings", file.settings),
+        ];
         Ok(Start {
             name: file.name,
             listen: file.listen,
@@ -56,6 +72,7 @@
             known: file.known,
             opening,
             seed,
+            fixed,
         })
     }
 
@@ -66,3 +83,74 @@
         chance
     }
 }
+
+/// Where a peer is to be found; a new configuration may move it.
+#[derive(Clone)]
+pub struct Address(watch::Receiver<SocketAddr>);
+
+impl Address {
+    pub fn now(&self) -> SocketAddr {
+        *self.0.borrow()
+    }
+
+    /// Once the peer is no longer at `old`: what `open` makes of its new address. Until that is up, the caller
+    /// stays with what it has.
+    pub async fn moved<Link, E>(
+        &mut self,
+        old: SocketAddr,
+        open: impl AsyncFn(SocketAddr) -> Result<Link, E>,
+    ) -> Link {
+        loop {
+            let new = self.0.wait_for(|new| *new != old).await.map(|new| *new);
+            // The sender lives as long as the program.
+            let Ok(new) = new else { return std::future::pending().await };
+            match open(new).await {
+                Ok(link) => return link,
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+}
+
+/// What a new configuration may change, and what it may not.
+pub struct Renewal {
+    discovery: watch::Sender<SocketAddr>,
+    relay: watch::Sender<SocketAddr>,
+    fixed: Vec<(&'static str, Value)>,
+}
+
+impl Renewal {
+    pub fn of(start: &Start) -> Renewal {
+        let (discovery, relay) = (watch::Sender::new(start.discovery), watch::Sender::new(start.relay));
+        Renewal { discovery, relay, fixed: start.fixed.clone() }
+    }
+
+    pub fn discovery(&self) -> Address {
+        Address(self.discovery.subscribe())
+    }
+
+    pub fn relay(&self) -> Address {
+        Address(self.relay.subscribe())
+    }
+
+    /// The file is read anew, and whole, before anything is given up: a bad one changes nothing.
+    pub fn renew(&self) {
+        let new = match Start::read() {
+            Ok(new) => new,
+            Err(error) => {
+                counters::RENEWALS_BAD.add(1);
+                log::error!("configuration: not taken over: {error}");
+                return;
+            }
+        };
+        counters::RENEWALS.add(1);
+        log::info!("configuration: discovery at {}, the relay at {}", new.discovery, new.relay);
+        for ((what, is), (_, wanted)) in self.fixed.iter().zip(&new.fixed) {
+            if is != wanted {
+                log::warn!("configuration: {what} stays as it is until the next start");
+            }
+        }
+        self.discovery.send_replace(new.discovery);
+        self.relay.send_replace(new.relay);
+    }
+}
--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
@@ -35,18 +36,27 @@
 }
 
 /// The program with a configuration of this text.
-fn program(text: &str) -> Command {
+fn program(text: &str) -> (Command, PathBuf) {
     static FILES: AtomicUsize = AtomicUsize::new(0);
     let name = format!("pilot-{}-{}.json", std::process::id(), FILES.fetch_add(1, Relaxed));
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_dahliaroad"));
-    command.env("ROUTER_CONFIG", path).stderr(Stdio::piped()).kill_on_drop(true);
-    command
+    command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).kill_on_drop(true);
+    (command, path)
+}
+
+/// What tells a pilot of this fleet, which last knew of this list.
+fn configuration(fleet: &Fleet, known: Value) -> Value {
+    let mut all: Value = serde_json::from_str(include_str!("../../examples/pilot.json")).unwrap();
+    (all["listen"], all["known"]) = (json!("127.0.0.1:0"), known);
+    (all["discovery"], all["store"]["address"]) = (json!(fleet.discovery.get()), json!(fleet.relay.get()));
+    all
 }
 
 struct Pilot {
     process: Child,
+    file: PathBuf,
     listen: SocketAddr,
     log: Rc<RefCell<Vec<String>>>,
 }
@@ -54,10 +64,8 @@
 impl Pilot {
     /// Starts one for the fleet, which last knew of this list.
     async fn start(fleet: &Fleet, known: Value) -> Pilot {
-        let mut all: Value = serde_json::from_str(include_str!("../../examples/pilot.json")).unwrap();
-        (all["listen"], all["known"]) = (json!("127.0.0.1:0"), known);
-        (all["discovery"], all["store"]["address"]) = (json!(fleet.discovery), json!(fleet.relay));
-        let mut process = program(&all.to_string()).spawn().unwrap();
+        let (mut command, file) = program(&configuration(fleet, known).to_string());
+        let mut process = command.spawn().unwrap();
         let mut lines = BufReader::new(process.stderr.take().unwrap()).lines();
         let first = lines.next_line().await.unwrap().expect("a first line");
         let listen = first.rsplit(' ').next().unwrap().parse().expect(&first);
@@ -68,7 +76,7 @@
                 kept.borrow_mut().push(line);
             }
         });
-        Pilot { process, listen, log }
+        Pilot { process, file, listen, log }
     }
 
     fn signal(&self, name: &str) {
@@ -453,10 +461,68 @@
             (&good.replace("\"probes\": true", "\"probes\": 7"), "field 'probes' is not true or false"),
         ];
         for (text, expected) in stories {
-            let ended = timeout(AT_MOST, program(text).output()).await.expect("an end").unwrap();
+            let ended = timeout(AT_MOST, program(text).0.output()).await.expect("an end").unwrap();
             let error = String::from_utf8(ended.stderr).unwrap();
             assert!(!ended.status.success() && error.lines().count() == 1, "{error}");
             assert!(error.contains(expected), "{error}");
         }
     });
 }
+
+/// The fleet moves, and the pilot is told.
+async fn move_on(fleet: &Fleet, pilot: &Pilot) {
+    let here = "127.0.0.1:0".parse().unwrap();
+    fleet.move_to(here, here).await.unwrap();
+    std::fs::write(&pilot.file, configuration(fleet, json!(null)).to_string()).unwrap();
+    pilot.signal("-HUP");
+}
+
+#[test]
+fn a_new_configuration_moves_all_links_before_the_old_ones_go_and_loses_nothing() {
+    play(async {
+        let (fleet, pilot) = stage(8).await;
+        let world = &fleet.world;
+        for round in 0..3 {
+            let (gone, subscribed) = (format!("e{round}"), world.subscriptions.get());
+            move_on(&fleet, &pilot).await;
+            if round == 1 {
+                move_on(&fleet, &pilot).await;
+            }
+            world.leave(round);
+            world.join(round, zone(round), 10.0);
+            world.set_health(&gone, "leaving");
+            until("moved", || world.subscriptions.get() > subscribed).await;
+            until("bound", || (0..4).all(|node| bound(&fleet, node))).await;
+            until("drained", || !held_somewhere(&fleet, &gone)).await;
+        }
+        pilot.assert_alive().await;
+        until("the old ones gone", || world.given_up.get() == 8).await;
+        assert_eq!(pilot.count("configurations taken over").await, 4);
+        for lost in ["news lost", "watches lost", "calls without a readable answer"] {
+            assert_eq!(pilot.count(lost).await, 0, "{lost}");
+        }
+    });
+}
+
+#[test]
+fn a_bad_new_configuration_changes_nothing_and_is_told_in_one_line() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        let good = configuration(&fleet, json!(null)).to_string();
+        let elsewhere = good.replace(&fleet.relay.get().to_string(), "nowhere");
+        for text in [Some(&good[..good.len() / 2]), Some(""), Some(&elsewhere), None] {
+            match text {
+                Some(text) => std::fs::write(&pilot.file, text).unwrap(),
+                None => std::fs::remove_file(&pilot.file).unwrap(),
+            }
+            let lines = pilot.log.borrow().len();
+            pilot.signal("-HUP");
+            until("refused", || pilot.log.borrow().len() > lines).await;
+            assert!(pilot.log.borrow()[lines..].iter().all(|line| line.contains("not taken over")));
+        }
+        fleet.world.set_health("e0", "leaving");
+        until("drained", || !held_somewhere(&fleet, "e0")).await;
+        assert_eq!(pilot.count("configurations refused").await, 4);
+        assert_eq!(pilot.count("news subscribed").await, 1);
+    });
+}
