A spoilt message costs itself alone; strangers get little room and 1.5 s

At fault: serve and take_in in pilot/src/collectors.rs, hear in relay/news.rs (a mistyped field ended the link), answer in relay/calls.rs (a count above what was sent was booked as all taken, an answer without an id as this call's). Checked: with calls.rs and news.rs as before, the two stories of the relay fail; spoilt figures in the logs are 2^32 times too large, negative, of another type, or missing, and honest intervals go up to 5.6 s, so the new bounds on figures (1e6 calls a second, 10 min, answers of 60 s) leave room.

--- a/examples/src/relay.rs
+++ b/examples/src/relay.rs
@@ -25,6 +25,9 @@
     Unanswered,
     /// Carried out, and answered with what cannot be read.
     Garbled,
+    /// Not carried out, and answered with more than was sent, or for no call at all.
+    Overcounted,
+    Nameless,
 }
 
 async fn news(stream: &mut BufReader<TcpStream>, world: &World) -> io::Result<()> {
@@ -76,13 +79,14 @@
             (None, _) => Err("SYNTAX"),
             (_, Some(Fault::Busy)) => Err("BUSY"),
             (_, Some(Fault::Lost | Fault::Unheard)) => Ok(0),
+            (_, Some(Fault::Overcounted)) => Ok(1 << 30),
+            (Some(orders), Some(Fault::Nameless)) => Ok(orders.len()),
             (Some(orders), _) => Ok(commit(orders, world)),
         };
+        let id = if fault == Some(Fault::Nameless) { &Value::Null } else { &call["id"] };
         let answer = match taken {
-            Ok(count) => json!({"jsonrpc": "2.0", "id": call["id"], "result": {"ok_count": count}}),
-            Err(word) => {
-                json!({"jsonrpc": "2.0", "id": call["id"], "error": {"code": -32000, "message": word}})
-            }
+            Ok(count) => json!({"jsonrpc": "2.0", "id": id, "result": {"ok_count": count}}),
+            Err(word) => json!({"jsonrpc": "2.0", "id": id, "error": {"code": -32000, "message": word}}),
         };
         match fault {
             Some(Fault::Lost | Fault::BrokenAfter) => return Ok(()),
--- a/examples/src/world.rs
+++ b/examples/src/world.rs
@@ -142,7 +142,8 @@
         json!({"seq": self.seq.get(), "whole": after.is_none(), "hosts": hosts})
     }
 
-    pub(crate) fn tell(&self, method: &str, params: Value) {
+    /// News for all that subscribed.
+    pub fn tell(&self, method: &str, params: Value) {
         let line = json!({"jsonrpc": "2.0", "method": method, "params": params}).to_string();
         self.readers.borrow_mut().retain(|reader| reader.send(Some(line.clone())).is_ok());
     }
--- a/pilot/src/collectors.rs
+++ b/pilot/src/collectors.rs
@@ -1,4 +1,7 @@
 //! What arrives at the pilot's own address: collectors' sums, and anyone's question whether it is alive.
+//!
+//! Only who has stated a zone of the deployment is a collector, and is borne with; anyone else is a stranger, gets
+//! little room and little time, and gives way to newcomers.
 
 use std::borrow::Cow;
 use std::cell::RefCell;
@@ -9,31 +12,35 @@
 
 use dahliaroad::interface::{Came, ClassId, LoadReport, Met, Orders, ProxyId, ZoneId};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::counters;
 use crate::decide::{Call, Desk};
+use crate::start::Limits;
 
 const LONGEST: u32 = 1 << 20;
+/// No stranger's word is longer: it states a zone, or asks for a sign of life.
+const STRANGERS_LONGEST: u32 = 4 << 10;
 /// What one connection keeps of a buffer that a long frame needed.
 const KEPT: usize = 16 << 10;
-/// Connections at once, those who have not said a word beside those who have: each may hold one longest frame,
-/// and all of them have to fit into the pilot's memory.
-const STRANGERS: usize = 24;
-const KNOWN: usize = 40;
-/// Who has said nothing by then will not; a frame begun is ended by then.
-const FIRST_WORD_WITHIN: Duration = Duration::from_secs(5);
-const FRAME_WITHIN: Duration = Duration::from_secs(5);
+/// A stranger's first word is there, whole, by then, and no frame takes longer to come, once begun.
+const WITHIN: Duration = Duration::from_millis(1500);
 /// Collectors report each second; one silent for so long has vanished without a sign.
 const SILENT: Duration = Duration::from_secs(60);
 const WRITE_WITHIN: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(50);
-/// No honest figure is larger; sums of such stay finite.
-const LARGEST: f64 = 1e9;
-const LONGEST_SPAN: f64 = 3_600_000.0;
+/// Spoilt ones without a good one between, after which nothing good is to be hoped for from a connection.
+const SPOILT_IN_A_ROW: u32 = 32;
+/// No honest figure is larger: calls a second, a span of sums, the time of an answer, a busy fraction.
+const MOST_CALLS: f64 = 1e6;
+const LONGEST_SPAN: f64 = 600_000.0;
+const LONGEST_ANSWER: f64 = 60_000.0;
+const BUSIEST: f64 = 100.0;
+const LONGEST_NAME: usize = 256;
 const ALIVE: &[u8] = b"\x10\0\0\0{\"type\":\"alive\"}";
 
 #[derive(Deserialize)]
@@ -72,8 +79,8 @@
     value.filter(|value| (0.0..=most).contains(value))
 }
 
-fn span(value: Option<f64>) -> Option<Duration> {
-    amount(value, LONGEST_SPAN).map(|ms| Duration::from_secs_f64(ms / 1000.0))
+fn span(value: Option<f64>, most: f64) -> Option<Duration> {
+    amount(value, most).map(|ms| Duration::from_secs_f64(ms / 1000.0))
 }
 
 fn place(names: &[String], name: &Option<Cow<str>>) -> Option<u32> {
@@ -82,16 +89,25 @@
 }
 
 impl Frame<'_> {
+    /// The calls that it tells of, how many of them failed, and in what time they came.
+    fn calls(&self) -> Option<(f64, f64, Duration)> {
+        let span = span(self.interval, LONGEST_SPAN).filter(|span| !span.is_zero())?;
+        let total = amount(self.total, MOST_CALLS * span.as_secs_f64().max(1.0))?;
+        Some((total, amount(self.errors, total)?, span))
+    }
+
     fn admit_outcomes(self, terms: &Terms) -> Option<Call> {
         let zone = ZoneId(place(&terms.zones, &self.locality)?);
-        let met = Met {
-            tries: amount(self.total, LARGEST)?,
-            failed: amount(self.errors, LARGEST)?,
-            answer_time: span(self.rtt.or(Some(0.0)))?,
-            span: span(self.interval)?,
-            load: LoadReport { busy: self.metrics.and_then(|load| amount(load.busy.or(load.util), LARGEST)) },
+        let (tries, failed, span_of_sums) = self.calls()?;
+        // Where no try went well there is no time to tell.
+        let rtt = self.rtt.or((failed >= tries).then_some(0.0));
+        let busy = match self.metrics.as_ref().and_then(|load| load.busy.or(load.util)) {
+            Some(busy) => Some(amount(Some(busy), BUSIEST)?),
+            None => None,
         };
-        let name = self.endpoint?.into_owned();
+        let (answer_time, load) = (span(rtt, LONGEST_ANSWER)?, LoadReport { busy });
+        let met = Met { tries, failed, answer_time, span: span_of_sums, load };
+        let name = self.endpoint.filter(|name| name.len() <= LONGEST_NAME)?.into_owned();
         Some(Box::new(move |seat, now| match seat.roster.find(&name) {
             Some(endpoint) => seat.pilot.met(now, zone, endpoint, met),
             // Numbers are for what discovery lists, or anyone could fill them up.
@@ -105,80 +121,114 @@
     fn admit_demand(self, terms: &Terms) -> Option<Call> {
         let proxy = ProxyId(self.node.filter(|node| *node < terms.proxies)?);
         let class = ClassId(place(&terms.classes, &self.route)?);
-        amount(self.errors.or(Some(0.0)), LARGEST)?;
-        let came = Came { calls: amount(self.total, LARGEST)?, span: span(self.interval)? };
-        Some(Box::new(move |seat, now| seat.pilot.came(now, proxy, class, came)))
+        let (calls, _, span) = self.calls()?;
+        Some(Box::new(move |seat, now| seat.pilot.came(now, proxy, class, Came { calls, span })))
     }
 }
 
+/// What a frame that can be understood is for.
+enum Word {
+    Question,
+    Zone,
+    Sums(Call),
+}
+
+/// `None` for JSON that tells nothing of this deployment; after what is no JSON at all, nothing that follows can
+/// be trusted to be whole.
+fn admit(bytes: &[u8], terms: &Terms) -> io::Result<Option<Word>> {
+    let Ok(frame) = serde_json::from_slice::<Frame>(bytes) else {
+        let json = serde_json::from_slice::<IgnoredAny>(bytes);
+        return json.map(|_| None).map_err(|_| unfit("not JSON", bytes));
+    };
+    Ok(match &*frame.kind {
+        "probe" => Some(Word::Question),
+        "agent" => place(&terms.zones, &frame.locality).map(|_| Word::Zone),
+        "outcomes" => frame.admit_outcomes(terms).map(Word::Sums),
+        "demand" => frame.admit_demand(terms).map(Word::Sums),
+        _ => None,
+    })
+}
+
+fn unfit(what: &str, bytes: &[u8]) -> io::Error {
+    let text = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]);
+    io::Error::new(io::ErrorKind::InvalidData, format!("{what}: {text}"))
+}
+
 /// The next frame's bytes; `None` at a clean end.
 async fn take_in<'a>(
     stream: &mut TcpStream,
     buffer: &'a mut Vec<u8>,
-    silent: Duration,
+    visit: &Visit,
 ) -> io::Result<Option<&'a [u8]>> {
     let mut head = [0; 4];
-    if timeout(silent, stream.read(&mut head[..1])).await?? == 0 {
+    if timeout(SILENT, stream.read(&mut head[..1])).await?? == 0 {
         return Ok(None);
     }
     let rest = async {
         stream.read_exact(&mut head[1..]).await?;
         let length = u32::from_le_bytes(head);
-        if length > LONGEST {
-            return Err(unfit(format!("a frame of {length} bytes")));
+        if length > if visit.is_known() { LONGEST } else { STRANGERS_LONGEST } {
+            return Err(unfit("too long a frame", &head));
         }
+        let Some(_room) = visit.room_for(length) else { return Err(unfit("no room for a frame", &head)) };
         buffer.clear();
         buffer.shrink_to(KEPT);
         // Grows with what arrives: a length alone costs no memory.
         let read = (&mut *stream).take(u64::from(length)).read_to_end(buffer).await?;
         if read < length as usize { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
     };
-    timeout(FRAME_WITHIN, rest).await??;
+    timeout(WITHIN, rest).await??;
     Ok(Some(buffer))
 }
 
-fn unfit(what: String) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, what)
-}
-
 async fn serve(stream: &mut TcpStream, visit: &Visit, terms: &Terms, desk: &Desk) -> io::Result<()> {
-    let (mut buffer, mut silent) = (Vec::new(), FIRST_WORD_WITHIN);
-    while let Some(bytes) = take_in(stream, &mut buffer, silent).await? {
-        let not_admitted = || unfit(format!("not admitted: {:.200}", String::from_utf8_lossy(bytes)));
-        let frame: Frame = serde_json::from_slice(bytes).map_err(|_| not_admitted())?;
+    let (mut buffer, mut spoilt) = (Vec::new(), 0);
+    let mut first_by = Some(Instant::now() + WITHIN);
+    loop {
+        let taken = take_in(stream, &mut buffer, visit);
+        let taken = match first_by.take() {
+            Some(by) => timeout_at(by, taken).await??,
+            None => taken.await?,
+        };
+        let Some(bytes) = taken else { return Ok(()) };
         counters::FRAMES.add(1);
-        let call = match &*frame.kind {
-            "probe" => {
+        match admit(bytes, terms)? {
+            Some(Word::Question) => {
                 timeout(WRITE_WITHIN, stream.write_all(ALIVE)).await??;
                 counters::ALIVE.add(1);
-                None
             }
-            "agent" => {
-                place(&terms.zones, &frame.locality).ok_or_else(not_admitted)?;
-                None
+            Some(Word::Zone) => visit.make_known(),
+            Some(Word::Sums(call)) if visit.is_known() => {
+                visit.make_known();
+                spoilt = 0;
+                counters::SUMS.add(1);
+                desk.tell(call).await;
             }
-            "outcomes" => Some(frame.admit_outcomes(terms).ok_or_else(not_admitted)?),
-            "demand" => Some(frame.admit_demand(terms).ok_or_else(not_admitted)?),
-            _ => return Err(not_admitted()),
-        };
-        if silent != SILENT && !visit.make_known() {
-            return Err(unfit("too many at once".to_owned()));
-        }
-        silent = SILENT;
-        if let Some(call) = call {
-            desk.tell(call).await;
+            // One spoilt message says nothing about those around it.
+            None if visit.is_known() && spoilt < SPOILT_IN_A_ROW => {
+                spoilt += 1;
+                counters::SPOILT.add(1);
+                log::warn!(
+                    "collectors: left out: {}",
+                    String::from_utf8_lossy(&bytes[..bytes.len().min(200)])
+                );
+            }
+            _ => return Err(unfit("not admitted", bytes)),
         }
     }
-    Ok(())
 }
 
-/// Who is connected. Strangers give way to newcomers, the oldest first, so that the silent ones cannot keep
-/// collectors out.
-#[derive(Default)]
+/// Who is connected, by the number of the visit. Strangers give way to newcomers, the oldest first, so that they
+/// cannot keep collectors out; of collectors the one unheard for longest does, which has vanished most likely.
 struct House {
     visits: u64,
     strangers: BTreeMap<u64, AbortHandle>,
-    known: usize,
+    /// Beside it, when it was heard last.
+    known: BTreeMap<u64, (AbortHandle, Instant)>,
+    /// Bytes left for long frames.
+    room: usize,
+    /// How many strangers there may be, and as many collectors.
+    most: usize,
 }
 
 /// One connection's place in the house, given back when it is dropped.
@@ -187,28 +237,55 @@
     house: Rc<RefCell<House>>,
 }
 
+/// The room that a long frame takes, given back when it is dropped.
+struct Room<'a>(usize, &'a RefCell<House>);
+
 impl Visit {
-    fn make_known(&self) -> bool {
+    fn is_known(&self) -> bool {
+        self.house.borrow().known.contains_key(&self.number)
+    }
+
+    fn make_known(&self) {
         let house = &mut *self.house.borrow_mut();
-        let room = house.known < KNOWN;
-        if room && house.strangers.remove(&self.number).is_some() {
-            house.known += 1;
+        if let Some((_, heard)) = house.known.get_mut(&self.number) {
+            *heard = Instant::now();
+        } else if let Some(task) = house.strangers.remove(&self.number) {
+            let unheard = house.known.values().min_by_key(|(_, heard)| *heard);
+            if let Some((longest, _)) = unheard.filter(|_| house.known.len() >= house.most) {
+                longest.abort();
+                counters::STRANGERS.add(1);
+            }
+            house.known.insert(self.number, (task, Instant::now()));
         }
-        room
+    }
+
+    fn room_for(&self, length: u32) -> Option<Room<'_>> {
+        let length = if length as usize > KEPT { length as usize } else { 0 };
+        let house = &mut *self.house.borrow_mut();
+        house.room = house.room.checked_sub(length)?;
+        Some(Room(length, &self.house))
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.1.borrow_mut().room += self.0;
     }
 }
 
 impl Drop for Visit {
     fn drop(&mut self) {
         let house = &mut *self.house.borrow_mut();
-        if house.strangers.remove(&self.number).is_none() {
-            house.known -= 1;
-        }
+        house.strangers.remove(&self.number);
+        house.known.remove(&self.number);
     }
 }
 
-pub async fn listen(listener: TcpListener, terms: Terms, desk: Desk) {
-    let (house, terms) = (Rc::new(RefCell::new(House::default())), Rc::new(terms));
+pub async fn listen(listener: TcpListener, terms: Terms, limits: Limits, desk: Desk) {
+    // A quarter of the descriptors each for strangers and collectors; frames may be twice as large in memory.
+    let (most, room) = (limits.sockets / 4, (limits.memory / 16).max(LONGEST as usize));
+    let house = House { visits: 0, strangers: BTreeMap::new(), known: BTreeMap::new(), room, most };
+    let (house, terms) = (Rc::new(RefCell::new(house)), Rc::new(terms));
     loop {
         let mut stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -223,10 +300,9 @@
         let _ = stream.set_nodelay(true);
         let number = house.borrow().visits;
         let oldest = house.borrow().strangers.first_key_value().map(|(_, oldest)| oldest.clone());
-        if let Some(oldest) = oldest.filter(|_| house.borrow().strangers.len() >= STRANGERS) {
+        if let Some(oldest) = oldest.filter(|_| house.borrow().strangers.len() >= most) {
             oldest.abort();
             counters::STRANGERS.add(1);
-            tokio::task::yield_now().await;
         }
         let visit = Visit { number, house: house.clone() };
         let (terms, desk) = (terms.clone(), desk.clone());
@@ -238,8 +314,9 @@
                 log::warn!("collectors: {error}");
             }
         });
-        let house = &mut *house.borrow_mut();
-        house.visits += 1;
-        house.strangers.insert(number, task.abort_handle());
+        house.borrow_mut().visits += 1;
+        house.borrow_mut().strangers.insert(number, task.abort_handle());
+        // The one that gives way goes, and the newcomer is heard, before the next is let in.
+        yield_now().await;
     }
 }
--- a/pilot/src/counters.rs
+++ b/pilot/src/counters.rs
@@ -23,6 +23,8 @@
     STRANGERS: "connections closed as silent",
     BROKEN: "connections closed as broken",
     FRAMES: "frames taken in",
+    SUMS: "sums taken in",
+    SPOILT: "spoilt messages left out",
     UNLISTED: "sums of endpoints not listed",
     ALIVE: "alive answered",
     BAD: "inputs refused",
--- a/pilot/src/endpoints.rs
+++ b/pilot/src/endpoints.rs
@@ -15,12 +15,13 @@
 
 use crate::counters;
 use crate::decide::Desk;
+use crate::start::Limits;
 
 /// Longer than a healthy endpoint's queue, shorter than the pause until the next probe is worth sending.
 const ANSWER_WITHIN: Duration = Duration::from_millis(600);
 /// A refusal that took longer was one of waiting in line: the endpoint gave the probe up by its own time-out.
 const REFUSED_WITHIN: Duration = Duration::from_millis(300);
-/// Probes under way; each holds a descriptor.
+/// Probes under way; each holds a descriptor, and all of them a quarter of the pilot's at most.
 const AT_ONCE: usize = 128;
 
 pub struct Probe {
@@ -54,8 +55,8 @@
     }
 }
 
-pub async fn probe(mut probes: mpsc::Receiver<Probe>, connect_within: Duration, desk: Desk) {
-    let room = std::sync::Arc::new(Semaphore::new(AT_ONCE));
+pub async fn probe(mut probes: mpsc::Receiver<Probe>, connect_within: Duration, limits: Limits, desk: Desk) {
+    let room = std::sync::Arc::new(Semaphore::new(AT_ONCE.min(limits.sockets / 4)));
     while let Some(Probe { endpoint, dial }) = probes.recv().await {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         let desk = desk.clone();
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -44,7 +44,7 @@
     ::log::info!("{} listens on {}", start.name, listener.local_addr()?);
     let (calls_chance, news_chance) = (start.chance(1), start.chance(2));
     let renewal = Renewal::of(&start);
-    let Start { opening, known, .. } = start;
+    let Start { opening, known, limits, .. } = start;
     let (zones, classes) = (opening.zones, opening.classes);
     let proxies = opening.deployment.proxies as u32;
     let outbox = Rc::new(Outbox::new(classes.clone()));
@@ -63,10 +63,11 @@
         watch.route(known).await;
     }
     tasks.spawn_local(watch.follow());
-    tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, desk.clone()));
+    tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, limits, desk.clone()));
     tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, desk.clone(), calls_chance));
     tasks.spawn_local(joined.follow(news_chance));
-    tasks.spawn_local(collectors::listen(listener, collectors::Terms { zones, classes, proxies }, desk));
+    let terms = collectors::Terms { zones, classes, proxies };
+    tasks.spawn_local(collectors::listen(listener, terms, limits, desk));
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
--- a/pilot/src/relay/calls.rs
+++ b/pilot/src/relay/calls.rs
@@ -73,7 +73,7 @@
         call.extend_from_slice(b"]}}\n");
         counters::CALLS.add(1);
         counters::ORDERS.add(orders.len());
-        match self.answer(&mut link, &call).await {
+        match self.answer(&mut link, &call, orders.len()).await {
             Ok(outcome) => {
                 self.link = Some(link);
                 outcome
@@ -82,14 +82,18 @@
         }
     }
 
-    async fn answer(&self, link: &mut Link, call: &[u8]) -> io::Result<Outcome> {
+    /// An answer that cannot be one to this call is none: what became of the call is not known then.
+    async fn answer(&self, link: &mut Link, call: &[u8], orders: usize) -> io::Result<Outcome> {
         link.write(call).await?;
         let line = link.read(ANSWER_WITHIN).await?;
         let answer: Answer = serde_json::from_slice(line).map_err(|_| unreadable(line))?;
         let says = |word: &str| answer.error.as_ref().is_some_and(|error| error.to_string().contains(word));
         match answer {
-            Answer { id: Some(id), .. } if id != self.id => Err(unreadable(line)),
-            Answer { result: Some(Taken { ok_count }), error: None, .. } => Ok(Outcome::Taken(ok_count)),
+            Answer { id, .. } if id.is_some_and(|id| id != self.id) => Err(unreadable(line)),
+            Answer { id: Some(_), result: Some(Taken { ok_count }), error: None } if ok_count <= orders => {
+                Ok(Outcome::Taken(ok_count))
+            }
+            Answer { result: Some(_), .. } => Err(unreadable(line)),
             _ if says("BUSY") => Ok(Outcome::Busy),
             // What it cannot read it has not begun.
             _ if says("SYNTAX") => Ok(Outcome::Taken(0)),
--- a/pilot/src/relay/news.rs
+++ b/pilot/src/relay/news.rs
@@ -9,6 +9,7 @@
 use dahliaroad::interface::{Orders, ProxyId, ZoneId};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 use super::{ANSWER_WITHIN, Link, Outbox, Pause, unreadable};
 use crate::counters;
@@ -121,7 +122,9 @@
         match (method.as_str(), told.params) {
             ("hello", Some(params)) => self.hello(params).await?,
             ("bye", Some(params)) => self.left(params.node?).await,
-            ("ack", Some(Params { node: Some(node), nonce: Some(mark), .. })) => {
+            ("ack", Some(Params { node: Some(node), nonce: Some(mark), .. }))
+                if node < self.terms.proxies =>
+            {
                 self.outbox.confirmed(mark);
                 self.desk
                     .tell(Box::new(move |seat, now| seat.pilot.confirmed(now, ProxyId(node), mark)))
@@ -156,12 +159,21 @@
                 }
                 read => read?,
             }
-            // After a line that cannot be read nothing that follows can be trusted to be whole.
-            let told = serde_json::from_slice(&link.line).map_err(|_| unreadable(&link.line))?;
+            let told = match serde_json::from_slice(&link.line) {
+                Ok(told) => Some(told),
+                // After what is no JSON nothing that follows can be trusted to be whole.
+                Err(_) => serde_json::from_slice::<IgnoredAny>(&link.line)
+                    .map(|_| None)
+                    .map_err(|_| unreadable(&link.line))?,
+            };
             counters::NEWS.add(1);
-            if self.admit(told).await.is_none() {
+            let admitted = match told {
+                Some(told) => self.admit(told).await,
+                None => None,
+            };
+            if admitted.is_none() {
                 counters::BAD.add(1);
-                log::warn!("relay: news not admitted");
+                log::warn!("relay: news left out: {:.200}", String::from_utf8_lossy(&link.line));
             }
         }
     }
--- a/pilot/src/start.rs
+++ b/pilot/src/start.rs
@@ -29,6 +29,31 @@
     settings: Value,
 }
 
+/// What the platform lets a pilot have.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub sockets: usize,
+    /// In bytes.
+    pub memory: usize,
+}
+
+impl Limits {
+    /// Where the platform names none, the least that it gives anyone.
+    fn of(limits: Option<&Value>) -> Result<Limits, String> {
+        let figure = |name: &str, least: u64| match limits.and_then(|limits| limits.get(name)) {
+            None => Ok(least as usize),
+            Some(figure) => {
+                let figure = figure.as_f64().filter(|figure| *figure >= 1.0);
+                figure.map(|figure| figure as usize).ok_or_else(|| format!("limits: {name} is no limit"))
+            }
+        };
+        Ok(Limits {
+            sockets: figure("sockets", 256)?,
+            memory: figure("memory_mb", 32)?.saturating_mul(1 << 20),
+        })
+    }
+}
+
 #[derive(Deserialize)]
 struct Store {
     address: SocketAddr,
@@ -41,6 +66,7 @@
     pub relay: SocketAddr,
     pub known: Option<ListMessage>,
     pub opening: Opening,
+    pub limits: Limits,
     seed: u64,
     /// As written, by name: what holds for as long as the program runs.
     fixed: Vec<(&'static str, Value)>,
@@ -58,6 +84,7 @@
         let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|error| format!("seed: {error}"))?;
         let opening = opening(Fields::of("settings", &file.settings)?)?;
+        let limits = Limits::of(file.limits.as_ref())?;
         let fixed = vec![
             ("name", file.name.clone().into()),
             ("listen", file.listen.to_string().into()),
@@ -71,6 +98,7 @@
             relay: file.store.address,
             known: file.known,
             opening,
+            limits,
             seed,
             fixed,
         })
--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -62,9 +62,8 @@
 }
 
 impl Pilot {
-    /// Starts one for the fleet, which last knew of this list.
-    async fn start(fleet: &Fleet, known: Value) -> Pilot {
-        let (mut command, file) = program(&configuration(fleet, known).to_string());
+    async fn start(configuration: Value) -> Pilot {
+        let (mut command, file) = program(&configuration.to_string());
         let mut process = command.spawn().unwrap();
         let mut lines = BufReader::new(process.stderr.take().unwrap()).lines();
         let first = lines.next_line().await.unwrap().expect("a first line");
@@ -105,13 +104,20 @@
         assert_answers(&mut stream).await;
     }
 
-    /// The connection is closed upon these bytes, and unanswered.
+    /// The connection is closed upon these bytes in the time that is owed, and unanswered.
     async fn assert_closes(&self, bytes: &[u8]) {
         let (mut stream, mut answer) = (TcpStream::connect(self.listen).await.unwrap(), Vec::new());
         stream.write_all(bytes).await.unwrap();
-        let closed = timeout(AT_MOST, stream.read_to_end(&mut answer)).await;
+        let closed = timeout(Duration::from_secs(3), stream.read_to_end(&mut answer)).await;
         assert!(closed.is_ok() && answer.is_empty(), "{:?}", String::from_utf8_lossy(bytes));
     }
+
+    /// A connection that has stated its zone.
+    async fn collector(&self) -> TcpStream {
+        let mut stream = TcpStream::connect(self.listen).await.unwrap();
+        stream.write_all(&frame(&json!({"type": "agent", "locality": "east"}))).await.unwrap();
+        stream
+    }
 }
 
 async fn assert_answers(stream: &mut TcpStream) {
@@ -139,7 +145,7 @@
 /// Such a fleet and a pilot that has bound all its proxies.
 async fn stage(endpoints: u32) -> (Fleet, Pilot) {
     let fleet = fleet(endpoints).await;
-    let pilot = Pilot::start(&fleet, fleet.world.list(None)).await;
+    let pilot = Pilot::start(configuration(&fleet, fleet.world.list(None))).await;
     until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
     (fleet, pilot)
 }
@@ -168,10 +174,12 @@
 #[test]
 fn whatever_becomes_of_a_call_its_orders_come_to_hold_and_a_drain_behind_them_too() {
     play(async {
-        let (fleet, pilot) = stage(8).await;
+        let (fleet, pilot) = stage(10).await;
         let faults =
             [Fault::Busy, Fault::Lost, Fault::BrokenAfter, Fault::Unheard, Fault::Unanswered, Fault::Garbled];
-        for (place, fault) in faults.into_iter().enumerate() {
+        let spoilt = [Fault::Overcounted, Fault::Nameless];
+        let faults = faults.into_iter().chain(spoilt);
+        for (place, fault) in faults.enumerate() {
             let (world, gone) = (&fleet.world, format!("e{place}"));
             world.leave(0);
             world.faults.borrow_mut().push_back(fault);
@@ -336,46 +344,125 @@
     });
 }
 
+fn in_a_frame(text: &str) -> Vec<u8> {
+    [&(text.len() as u32).to_le_bytes(), text.as_bytes()].concat()
+}
+
 #[test]
-fn bad_frames_cost_their_connection_and_nothing_else() {
+fn who_is_no_collector_is_closed_at_the_first_bad_word_or_half_of_one() {
     play(async {
-        let (fleet, pilot) = stage(4).await;
+        let (_fleet, pilot) = stage(4).await;
         let texts = [
             "no JSON",
             "[]",
-            r#"{"locality":"east"}"#,
             r#"{"type":"shout"}"#,
             r#"{"type":"agent","locality":"south"}"#,
-            r#"{"type":"demand","node":1,"route":"lookup","total":-1,"interval":1000}"#,
-            r#"{"type":"demand","node":4,"route":"lookup","total":1,"interval":1000}"#,
-            r#"{"type":"demand","node":0.5,"route":"lookup","total":1,"interval":1000}"#,
-            r#"{"type":"demand","node":1,"route":"nothing","total":1,"interval":1000}"#,
-            r#"{"type":"demand","node":1,"route":"lookup","total":1e999,"interval":1000}"#,
-            r#"{"type":"demand","node":1,"route":"lookup","total":1,"interval":1e300}"#,
-            r#"{"type":"demand","node":1,"route":"lookup","interval":1000}"#,
-            r#"{"type":"outcomes","locality":"east","endpoint":"e0","total":"7","errors":0,"interval":1000}"#,
+            r#"{"type":"agent"}"#,
+            r#"{"type":"hello","node":0,"locality":"east","w":1.5,"cold":true}"#,
+            r#"{"jsonrpc":"2.0","id":8,"method":"commit","params":{"ops":[]}}"#,
+            r#"{"type":"demand","node":1,"route":"lookup","total":1,"errors":0,"interval":1000}"#,
         ];
         for text in texts {
-            let mut frame = (text.len() as u32).to_le_bytes().to_vec();
-            frame.extend(text.bytes());
-            pilot.assert_closes(&frame).await;
+            pilot.assert_closes(&in_a_frame(text)).await;
         }
-        pilot.assert_closes(&[0xff; 8]).await;
-        pilot.assert_closes(b"\x10\0\0\0{\"type\":").await;
-        // What is not known is skipped, and sums of an endpoint that is not listed are, too.
-        let mut stream = TcpStream::connect(pilot.listen).await.unwrap();
-        for more in [
-            json!({"type": "agent", "locality": "east", "colour": "red"}),
-            json!({"type": "outcomes", "locality": "east", "endpoint": "e9", "total": 7, "errors": 0,
-                "rtt": 3.5, "interval": 1000, "metrics": {"busy": 0.5, "mood": "good"}}),
-        ] {
-            stream.write_all(&frame(&more)).await.unwrap();
+        let agent = r#"{"type":"agent","locality":"east"}"#;
+        let long = in_a_frame(&format!("{agent}{}", " ".repeat(100_000)));
+        let halves: [&[u8]; 6] =
+            [&[0xff; 8], b"GET / HTTP/1.1\r\n\r\n", b"", b"\x10", b"\x10\0\0\0{\"type\":", &long];
+        for bytes in halves {
+            pilot.assert_closes(bytes).await;
         }
-        assert_answers(&mut stream).await;
+        // Nor does one that goes on without end, or one who asked for a sign of life before.
+        let mut endless = TcpStream::connect(pilot.listen).await.unwrap();
+        endless.write_all(&in_a_frame(agent)[..6]).await.unwrap();
+        let drip = async {
+            while endless.write_all(b" ").await.is_ok() {
+                sleep(Duration::from_millis(2)).await;
+            }
+        };
+        timeout(Duration::from_secs(3), drip).await.expect("closed");
+        let mut asker = TcpStream::connect(pilot.listen).await.unwrap();
+        assert_answers(&mut asker).await;
+        asker.write_all(b"\x10\0").await.unwrap();
+        let closed = timeout(Duration::from_secs(3), asker.read(&mut [0])).await;
+        assert!(matches!(closed.expect("closed"), Ok(0) | Err(_)));
+    });
+}
+
+#[test]
+fn a_spoilt_message_costs_itself_alone_and_what_is_no_json_its_connection() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        let mut collector = pilot.collector().await;
+        let good = r#"{"type":"demand","node":1,"route":"lookup","total":3,"errors":0,"interval":1000}"#;
+        let outcomes = r#"{"type":"outcomes","locality":"east","endpoint":"e0","total":7,"errors":0,"rtt":3.5,
+            "interval":1000,"metrics":{"busy":0.5,"mood":"good"}}"#;
+        let spoilt = [
+            ("demand", "shout"),
+            (r#""type":"demand","#, ""),
+            (r#""node":1"#, r#""node":4"#),
+            (r#""node":1"#, r#""node":0.5"#),
+            (r#""node":1"#, r#""node":"s-zz""#),
+            ("lookup", "nothing"),
+            (r#""lookup""#, "7"),
+            (r#""total":3"#, r#""total":-1"#),
+            (r#""total":3"#, r#""total":1e999"#),
+            (r#""total":3"#, r#""total":38654705664"#),
+            (r#""total":3,"#, ""),
+            (r#""errors":0,"#, ""),
+            (r#""errors":0"#, r#""errors":4"#),
+            (r#""interval":1000"#, r#""interval":1e300"#),
+            (r#""interval":1000"#, r#""interval":0"#),
+            (r#","interval":1000"#, ""),
+        ];
+        let spoilt_outcomes = [
+            (r#""total":7"#, r#""total":"7""#),
+            (r#""rtt":3.5,"#, ""),
+            (r#""rtt":3.5"#, r#""rtt":-1"#),
+            (r#""rtt":3.5"#, r#""rtt":38654705664"#),
+            (r#""busy":0.5"#, r#""busy":-1"#),
+            (r#""busy":0.5"#, r#""busy":"0.5""#),
+            ("east", "south"),
+            (r#""e0""#, "[]"),
+        ];
+        let texts = spoilt.iter().map(|(from, to)| good.replace(from, to));
+        let texts: Vec<String> =
+            texts.chain(spoilt_outcomes.iter().map(|(from, to)| outcomes.replace(from, to))).collect();
+        for text in &texts {
+            assert!(text != good && text != outcomes, "{text}");
+            for text in [text, good, outcomes] {
+                collector.write_all(&in_a_frame(text)).await.unwrap();
+            }
+        }
+        // Sums of an endpoint that is not listed are good ones, and go nowhere.
+        collector.write_all(&in_a_frame(&outcomes.replace("e0", "e9"))).await.unwrap();
+        assert_answers(&mut collector).await;
+        assert_eq!(pilot.count("spoilt messages left out").await, texts.len());
+        assert_eq!(pilot.count("sums taken in").await, 2 * texts.len() + 1);
+        assert_eq!(pilot.count("sums of endpoints not listed").await, 1);
+        collector.write_all(&in_a_frame("no JSON")).await.unwrap();
+        let closed = timeout(AT_MOST, collector.read(&mut [0])).await;
+        assert!(matches!(closed.expect("closed"), Ok(0) | Err(_)));
         assert!((0..4).all(|node| bound(&fleet, node)));
     });
 }
 
+#[test]
+fn spoilt_news_costs_itself_alone() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        for params in
+            [json!({"node": "s-zz", "nonce": 1}), json!({"node": 1}), json!({"node": 9, "nonce": 1})]
+        {
+            fleet.world.tell("ack", params);
+        }
+        fleet.world.join(2, "east", 10.0);
+        until("bound again", || bound(&fleet, 2)).await;
+        assert_eq!(pilot.count("inputs refused").await, 3);
+        assert_eq!(pilot.count("news lost").await, 0);
+    });
+}
+
 #[test]
 fn a_frame_in_pieces_is_put_together_and_one_who_never_reads_holds_nobody_up() {
     play(async {
@@ -397,16 +484,31 @@
 }
 
 #[test]
-fn silent_strangers_keep_nobody_out() {
+fn strangers_who_say_nothing_or_ask_and_stay_keep_no_collector_out() {
     play(async {
-        let (_fleet, pilot) = stage(4).await;
-        let mut silent = Vec::new();
-        for _ in 0..200 {
-            silent.push(TcpStream::connect(pilot.listen).await.unwrap());
+        let fleet = fleet(4).await;
+        let mut all = configuration(&fleet, fleet.world.list(None));
+        all["limits"] = json!({"cores": 0.2, "memory_mb": 32, "sockets": 256});
+        let pilot = Pilot::start(all).await;
+        let (mut there, mut strangers) = (pilot.collector().await, Vec::new());
+        assert_answers(&mut there).await;
+        for place in 0..200 {
+            let mut stranger = TcpStream::connect(pilot.listen).await.unwrap();
+            if place % 2 == 0 {
+                assert_answers(&mut stranger).await;
+            }
+            strangers.push(stranger);
         }
-        pilot.assert_alive().await;
-        assert!(pilot.count("connections closed as silent").await >= 200 - 24);
-        let closed = timeout(AT_MOST, silent[0].read(&mut [0])).await;
+        let mut late = pilot.collector().await;
+        for collector in [&mut there, &mut late] {
+            let sums = json!({"type": "demand", "node": 1, "route": "lookup", "total": 3, "errors": 0,
+                "interval": 1000});
+            collector.write_all(&frame(&sums)).await.unwrap();
+            assert_answers(collector).await;
+        }
+        assert_eq!(pilot.count("sums taken in").await, 2);
+        assert!(pilot.count("connections closed as silent").await >= 200 - 64);
+        let closed = timeout(AT_MOST, strangers[0].read(&mut [0])).await;
         assert!(matches!(closed.expect("closed"), Ok(0) | Err(_)));
     });
 }
@@ -423,7 +525,7 @@
         (0..4).for_each(|node| fleet.world.join(node, zone(node), 10.0));
         fleet.world.first_asked.set(None);
         let seq = old["seq"].as_u64();
-        let _again = Pilot::start(&fleet, old).await;
+        let _again = Pilot::start(configuration(&fleet, old)).await;
         until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
         until("gone", || !held_somewhere(&fleet, "e0")).await;
         // The whole list once more would have it split anew while the proxies come.
