Levels begin where tries bear demand out, rate gates widen, rare calls no longer count double

Checked: each sum as it came. A proxy with no call of a class reports nothing, its next report spans up to 6 s, so that averaging report by report took 0.55 calls a second for 0.80 (a small probe of the estimator, and 124 reported against 98 tried); what was cut is let in by gates in calls a second at proxies that bring one, in bunches. At fault, src/policy.rs: came (one gain for any span), set_levels (demand alone as load, with failures of answers lost taken for pressure), to_tell (the even share as the gate).

--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -35,13 +35,15 @@
     let mut open = JoinSet::new();
     loop {
         tokio::select! {
-            _ = kept.changed() => break,
+            // Who has come before the address is given up is taken.
+            biased;
             taken = listener.accept() => {
                 let Ok((stream, _)) = taken else { return };
                 let (world, speak) = (world.clone(), speak.clone());
                 open.spawn_local(async move { speak(stream, world).await });
                 while open.try_join_next().is_some() {}
             }
+            _ = kept.changed() => break,
         }
     }
     drop(listener);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -172,15 +172,6 @@
         self.open[e] && (!self.out[e] || self.opened().all(|other| self.out[other]))
     }
 
-    fn failed_part(&self, e: usize) -> f64 {
-        self.recent_failed[e] / self.recent[e].max(1.0)
-    }
-
-    /// Above the better quarter's: what all do at once is no one's fault.
-    fn failing(&self, e: usize) -> f64 {
-        self.failed_part(e) - self.common
-    }
-
     fn suspected(&self, e: usize) -> bool {
         let unvouched = self.unlisted[e] && self.answers[e] == 0;
         let failing = self.recent_failed[e] >= FEWEST_FAILED && self.failing(e) > FAILED_PART;
@@ -243,8 +234,11 @@
         if let Some(known) = self.proxies.get_mut(&proxy) {
             known.heard = true;
             let rate = &mut known.rates[class.0 as usize];
-            let calls = came.calls / came.span.as_secs_f64().max(LEAST_SPAN);
-            *rate += DEMAND_GAIN * (calls - *rate);
+            let span = came.span.as_secs_f64().max(LEAST_SPAN);
+            // Or rare calls would pass for many: none, no report. Where few were due, one tells less.
+            let rounds = came.span.max(self.site.round).div_duration_f64(self.site.round);
+            let tells = rounds * (*rate * span).max(1.0) / (*rate * span + 1.0);
+            *rate += (1.0 - (1.0 - DEMAND_GAIN).powf(tells)) * (came.calls / span - *rate);
             known.usual += USUAL_GAIN * (known.rates.iter().sum::<f64>() - known.usual);
         }
         self.settle(now)
@@ -366,8 +360,7 @@
     fn ramp(&self, e: usize) -> f64 {
         let warm = (self.age(e).as_secs_f64() / self.site.warm_up.as_secs_f64().max(LEAST_SPAN)).min(1.0);
         let slowest = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
-        let calm = self.state.heat < TARGET && self.state.failing < PILING / 2.0;
-        let spare = if calm { (self.site.fall_multiple / FALL_MARGIN).max(1.0) } else { 1.0 };
+        let spare = if self.calm() { (self.site.fall_multiple / FALL_MARGIN).max(1.0) } else { 1.0 };
         let since = |at: Duration| self.now.saturating_sub(at).div_duration_f64(self.site.round);
         let rounds = self.fleet.admitted[e].map_or(f64::INFINITY, since);
         (slowest * spare).min(FIRST_PART * rounds.floor().exp2()).min(1.0)
@@ -395,10 +388,9 @@
     /// no proof, as the refused come again: endpoints must be hot or failing, and show what they can do.
     fn set_levels(&mut self) {
         let (classes, fleet) = (&self.site.classes, &self.fleet);
-        let rate = |class: usize| self.proxies.values().map(|proxy| proxy.rates[class]).sum::<f64>();
-        let rates: Vec<f64> = (0..classes.len()).map(rate).collect();
+        let rates: Vec<f64> = (0..classes.len()).map(|class| self.rates_of(class).iter().sum()).collect();
         let capacity: f64 = fleet.capacity.iter().sum();
-        let load = rates.iter().sum::<f64>() / capacity.max(f64::MIN_POSITIVE);
+        let load = rates.iter().sum::<f64>().min(self.state.tries) / capacity.max(f64::MIN_POSITIVE);
         let said = (0..fleet.len()).filter_map(|e| Some((fleet.capacity[e], fleet.reported[e]?)));
         self.state.heat += STATE_GAIN * (weighted_mean(said).unwrap_or(load) - self.state.heat);
         let pressed = self.state.heat > TARGET || (self.state.failing > PILING / 2.0 && !self.crowded());
@@ -413,9 +405,16 @@
             self.levels[class] = (room / rate).clamp(LEAST_LEVEL, 1.0);
             room = (room - rate).max(0.0);
         }
+        let most = if self.calm() { 1.0 + STEP } else { 1.0 };
+        let gates = self.state.gates * (TARGET / self.state.heat.max(LEAST_BUSY)).clamp(1.0 - STEP, most);
+        self.state.gates = if self.shedding() { gates.clamp(1.0, SPREAD) } else { 1.0 };
         self.telling = (0..self.levels.len()).map(|class| self.to_tell(class)).collect();
     }
 
+    fn calm(&self) -> bool {
+        self.state.heat < TARGET && self.state.failing < PILING / 2.0
+    }
+
     /// Endpoints accept few connections: tables must be short, and refusing calls would not help.
     fn crowded(&self) -> bool {
         let jam = self.state.heat > TARGET || self.state.failing > SILENT_PART;
@@ -426,18 +425,18 @@
         self.levels.iter().any(|&level| level < 1.0)
     }
 
-    /// Where levels are rates, the busiest are cut first. While anything is refused no call is tried again:
-    /// a jam turns calls away, and tries add to it.
+    /// Where levels are rates, the busiest are cut first, by gates that widen until endpoints are kept busy:
+    /// calls come in bunches. While anything is refused no call is tried again: tries would add to a jam.
     fn to_tell(&self, class: usize) -> (f64, Tries) {
         let tries = if self.shedding() { Tries::Once } else { Tries::AgainIfNeverRan };
         let level = self.levels[class];
         if self.site.level_unit == LevelUnit::Share {
             return (level, tries);
         }
-        let rates: Vec<f64> = self.proxies.values().map(|proxy| proxy.rates[class]).collect();
+        let rates = self.rates_of(class);
         let room = level * rates.iter().sum::<f64>();
         let even = if level < 1.0 { water_level(rates, room) } else { None };
-        (even.unwrap_or(ALL_CALLS), tries)
+        (even.map_or(ALL_CALLS, |even| even * self.state.gates), tries)
     }
 
     fn levels_worth_telling(&self, table: usize) -> Vec<usize> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -230,6 +230,15 @@
         self.home.len()
     }
 
+    pub fn failed_part(&self, e: usize) -> f64 {
+        self.recent_failed[e] / self.recent[e].max(1.0)
+    }
+
+    /// Above the better quarter's: what all do at once is no one's fault.
+    pub fn failing(&self, e: usize) -> f64 {
+        self.failed_part(e) - self.common
+    }
+
     pub fn opened(&self) -> impl Iterator<Item = usize> + Clone {
         (0..self.len()).filter(|&e| self.open[e])
     }
@@ -311,6 +320,8 @@
     pub tries: f64,
     pub heat: f64,
     pub failing: f64,
+    /// How much wider than the levels the proxies' gates are.
+    pub gates: f64,
 }
 
 pub struct Pilot {
@@ -533,6 +544,11 @@
         &self.tables[pool * self.groups.len()..][..self.groups.len()]
     }
 
+    /// Calls a second of a class, by proxy.
+    pub(crate) fn rates_of(&self, class: usize) -> Vec<f64> {
+        self.proxies.values().map(|proxy| proxy.rates[class]).collect()
+    }
+
     /// Calls a second by home and group, and what each pool usually brings.
     pub(crate) fn demands(&self) -> (Vec<f64>, Vec<f64>) {
         let groups = self.groups.len();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -199,6 +199,36 @@
     assert!(rate > 0.0 && rate < 45.0, "{rate}");
 }
 
+#[test]
+fn where_gates_let_in_less_than_meant_they_are_widened_while_endpoints_are_idle() {
+    let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
+    host.seconds(10, 20.0, |e| (e < 6).then_some((10.0, 0.0, 0.95)));
+    let (meant, _) = host.levels[&1];
+    host.seconds(8, 20.0, |e| (e < 6).then_some((4.0, 0.0, 0.35)));
+    let (gate, _) = host.levels[&1];
+    assert!(meant < 20.0 && gate > 1.5 * meant, "{meant} {gate}");
+}
+
+#[test]
+fn failures_at_idle_endpoints_cut_nothing_though_reports_make_demand_look_high() {
+    let mut host = Host::running(deployment(), 6);
+    host.seconds(12, 40.0, |e| (e < 6).then_some((15.0, 3.0, 0.5)));
+    assert!(host.levels.values().all(|(level, _)| *level == 1.0), "{:?}", host.levels);
+}
+
+#[test]
+fn a_report_over_many_rounds_counts_as_many_and_rare_calls_do_not_pass_for_many() {
+    let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
+    host.seconds(10, 30.0, |e| (e < 6).then_some((8.0, 0.8, 1.0)));
+    let (busy, _) = host.levels[&1];
+    // One second of little, heard of late, and two of nothing: the busy ones before are no guide any more.
+    host.span = 6000 * MS;
+    host.seconds(1, 12.0, |e| (e < 6).then_some((8.0, 0.8, 1.0)));
+    host.quiet(10);
+    let (calm, _) = host.levels[&1];
+    assert!(busy < 30.0 && calm > 1000.0, "{busy} {calm}");
+}
+
 #[test]
 fn calls_stay_at_home_until_it_is_full() {
     let mut host = Host::running(homes(), 6);
