A pilot's own part of each endpoint moves with its proxies

At fault: joined and close_round in src/policy.rs, which let proxies come and go and leave the parts as they were.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -207,7 +207,7 @@
 
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
         let pool = self.lightest_pool(if self.homes > 1 { zone.0 as usize } else { 0 });
-        self.enrol(proxy, pool, usual_rate);
+        self.follow_proxies(|p| p.enrol(proxy, pool, usual_rate));
         self.now = now;
         self.recast |= (0..self.fleet.len()).any(|e| self.fleet.usable(e) && self.ramping(e));
         self.settle(now)
@@ -298,7 +298,7 @@
     fn close_round(&mut self, _: usize, _: &mut Orders) {
         // A proxy whose stream broke goes on sending, and comes back here if there is no other pilot.
         let (now, memory) = (self.now, if self.site.pilots > 1 { Duration::ZERO } else { MEMORY });
-        self.forget(|proxy| proxy.left.is_some_and(|at| at + memory <= now));
+        self.follow_proxies(|p| p.forget(|proxy| proxy.left.is_some_and(|at| at + memory <= now)));
         if self.last_heard.take().is_some() {
             self.learn();
             self.set_levels();
@@ -307,6 +307,15 @@
         self.split(STEP);
     }
 
+    /// Proxies that come from another pilot brought their calls before, and those that go still bring them:
+    /// our own part of each endpoint moves with them, or it would take rounds of refusals to learn.
+    fn follow_proxies(&mut self, change: impl FnOnce(&mut Pilot)) {
+        let before = self.brought();
+        change(self);
+        let part = if self.site.pilots > 1 { self.brought() / before } else { 1.0 };
+        self.fleet.rate.iter_mut().filter(|_| part.is_normal()).for_each(|rate| *rate *= part);
+    }
+
     /// Only good answers teach capacity: errors and refusals are fast, and would look like idleness.
     fn learn(&mut self) {
         let heard = self.fleet.gather(self.now, self.last_round);
@@ -706,21 +715,10 @@
         left.find(|&e| spare && fleet.strikes[e] >= STRIKES && fleet.suspected(e))
     }
 
-    fn shut_out(&mut self, e: usize, _: &mut Orders) {
-        (self.fleet.out[e], self.fleet.answers[e], self.recast) = (true, 0, true);
-        self.fleet.open[e] &= !self.fleet.unlisted[e];
-    }
-
     fn confirmed_good(&self) -> Option<usize> {
         (0..self.fleet.len()).find(|&e| self.fleet.out[e] && self.fleet.answers[e] >= ANSWERS)
     }
 
-    fn let_in(&mut self, e: usize, _: &mut Orders) {
-        let fleet = &mut self.fleet;
-        (fleet.out[e], fleet.admitted[e], fleet.strikes[e]) = (false, Some(self.now), 0.0);
-        (fleet.recent[e], fleet.recent_failed[e], self.recast) = (0.0, 0.0, true);
-    }
-
     fn probe_due(&self) -> Option<usize> {
         let fleet = &self.fleet;
         let due = |&e: &usize| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -540,10 +540,26 @@
         orders.probes.push(EndpointId(e as u32));
     }
 
+    pub(crate) fn shut_out(&mut self, e: usize, _: &mut Orders) {
+        (self.fleet.out[e], self.fleet.answers[e], self.recast) = (true, 0, true);
+        self.fleet.open[e] &= !self.fleet.unlisted[e];
+    }
+
+    pub(crate) fn let_in(&mut self, e: usize, _: &mut Orders) {
+        let fleet = &mut self.fleet;
+        (fleet.out[e], fleet.admitted[e], fleet.strikes[e]) = (false, Some(self.now), 0.0);
+        (fleet.recent[e], fleet.recent_failed[e], self.recast) = (0.0, 0.0, true);
+    }
+
     pub(crate) fn tables_of(&self, pool: usize) -> &[Table] {
         &self.tables[pool * self.groups.len()..][..self.groups.len()]
     }
 
+    /// Calls a second of all proxies.
+    pub(crate) fn brought(&self) -> f64 {
+        self.proxies.values().flat_map(|proxy| &proxy.rates).sum()
+    }
+
     /// Calls a second of a class, by proxy.
     pub(crate) fn rates_of(&self, class: usize) -> Vec<f64> {
         self.proxies.values().map(|proxy| proxy.rates[class]).collect()
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -209,6 +209,16 @@
     assert!(meant < 20.0 && gate > 1.5 * meant, "{meant} {gate}");
 }
 
+#[test]
+fn proxies_that_come_from_another_pilot_bring_their_part_of_the_endpoints() {
+    let mut host = Host::running(Deployment { pilots: 2, ..deployment() }, 6);
+    host.seconds(12, 15.0, |e| (e < 6).then_some((10.0, 0.0, 0.72)));
+    host.join(2, 0);
+    host.join(3, 1);
+    host.seconds(4, 15.0, |e| (e < 6).then_some((16.7, 0.0, 0.8)));
+    assert!(host.levels.values().all(|(level, _)| *level == 1.0), "{:?}", host.levels);
+}
+
 #[test]
 fn failures_at_idle_endpoints_cut_nothing_though_reports_make_demand_look_high() {
     let mut host = Host::running(deployment(), 6);
