Endpoints that left give their numbers, arrays and map places back

Now an endpoint that left the list is forgotten, the longest gone first, while more are gone than are left, if no line is held or due and no probe is under way; its number goes to the next name. The rank of a new endpoint is the first free one in its home, which is the count as before where none was given back. Checked: the story of the module holds 60 replacements of 6 in 16 numbers, that on sockets gives at least 8 of 16 back; neither can hold without the change, as there is no give_back to call and no such counter.

--- a/pilot/src/counters.rs
+++ b/pilot/src/counters.rs
@@ -36,6 +36,7 @@
     LEFT: "proxies left",
     LISTS: "lists taken in",
     WATCHES_LOST: "watches lost",
+    GIVEN_BACK: "endpoints' numbers given back",
     CALLS: "calls sent to the relay",
     ORDERS: "orders sent to the relay",
     TAKEN: "calls answered in full",
--- a/pilot/src/decide.rs
+++ b/pilot/src/decide.rs
@@ -1,7 +1,7 @@
 //! Owns the module and its timers. Peers' tasks hand in calls of its methods through a bounded channel;
 //! orders leave through the relay's box and the probes' channel, neither of which can hold it up.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -48,6 +48,8 @@
     numbers: HashMap<Arc<str>, u32>,
     names: Vec<Arc<str>>,
     dials: Vec<Option<SocketAddr>>,
+    /// Numbers that were given back.
+    free: BTreeSet<u32>,
 }
 
 impl Roster {
@@ -57,9 +59,11 @@
 
     pub fn list(&mut self, name: &str, dial: Option<SocketAddr>) -> EndpointId {
         let number = self.find(name).unwrap_or_else(|| {
-            let (number, name) = (self.names.len() as u32, Arc::<str>::from(name));
-            self.names.push(name.clone());
-            self.dials.push(None);
+            let (number, name) = (self.free.pop_first(), Arc::<str>::from(name));
+            let number = number.unwrap_or(self.names.len() as u32);
+            self.names.resize(self.names.len().max(number as usize + 1), name.clone());
+            self.dials.resize(self.names.len(), None);
+            self.names[number as usize] = name.clone();
             self.numbers.insert(name, number);
             EndpointId(number)
         });
@@ -67,6 +71,13 @@
         number
     }
 
+    pub fn give_back(&mut self, endpoint: EndpointId) {
+        counters::GIVEN_BACK.add(1);
+        self.numbers.remove(&self.names[endpoint.0 as usize]);
+        self.dials[endpoint.0 as usize] = None;
+        self.free.insert(endpoint.0);
+    }
+
     pub fn dial(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         self.dials[endpoint.0 as usize]
     }
--- a/pilot/src/discovery.rs
+++ b/pilot/src/discovery.rs
@@ -197,7 +197,11 @@
         self.desk
             .tell(Box::new(move |seat, now| {
                 let entries = list.admit(&places, &mut seat.roster);
-                seat.pilot.list(now, list.whole, &entries)
+                let orders = seat.pilot.list(now, list.whole, &entries);
+                while let Some(endpoint) = seat.pilot.give_back() {
+                    seat.roster.give_back(endpoint);
+                }
+                orders
             }))
             .await;
     }
--- a/pilot/tests/stories.rs
+++ b/pilot/tests/stories.rs
@@ -322,6 +322,27 @@
     });
 }
 
+#[test]
+fn endpoints_replaced_under_new_names_give_their_numbers_back() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        for round in 0..4 {
+            let name =
+                |round: u32, place| if round == 0 { format!("e{place}") } else { format!("n{round}{place}") };
+            for place in 0..4 {
+                fleet.endpoint(&name(round + 1, place), zone(place), "large", 20.0).await.unwrap();
+            }
+            (0..4).for_each(|place| fleet.world.set_health(&name(round, place), "left"));
+            until("replaced", || (0..4).all(|place| !held_somewhere(&fleet, &name(round, place)))).await;
+            until("held", || (0..4).any(|place| held_somewhere(&fleet, &name(round + 1, place)))).await;
+        }
+        fleet.endpoint("last", "east", "large", 20.0).await.unwrap();
+        report_until(&fleet, &pilot, "the last", || held_somewhere(&fleet, "last")).await;
+        // Of 21 names five are listed, and about as many that left are remembered.
+        assert!(pilot.count("endpoints' numbers given back").await >= 8);
+    });
+}
+
 #[test]
 fn endpoints_that_hang_or_fail_are_shut_out_by_probes_and_let_in_again() {
     play(async {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-/// A name the host has numbered densely from 0, one number for as long as the pilot lives.
+/// A name the host has numbered densely from 0. The number is the name's own until
+/// [`Pilot::give_back`](crate::Pilot::give_back) returns it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EndpointId(pub u32);
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,10 +98,12 @@
     /// When it was let in again, by the list or by its probes.
     pub admitted: Vec<Option<Duration>>,
     pub out: Vec<bool>,
-    /// The place in the order in which its home's endpoints were first listed.
+    /// The first place that was free among its home's endpoints when it was first listed.
     pub rank: Vec<usize>,
     /// Dropped from the list without having drained, where that does not bind.
     pub unlisted: Vec<bool>,
+    /// Since when the list has not had it, if it ever had.
+    pub gone: Vec<Option<Duration>>,
     /// By the zone of the proxies: what its sums last said.
     pub heard: Vec<Sums>,
     /// This round's sums, by the second: good answers, failed tries, and the good ones' time in all.
@@ -130,32 +132,42 @@
 
 impl Fleet {
     pub fn grow(&mut self, size: usize) {
-        let size = size.max(self.len());
-        self.home.resize(size, 0);
-        self.kind.resize(size, 0);
-        self.rank.resize(size, 0);
+        self.lay(size.max(self.len()), None);
+    }
+
+    /// Every array gets this size, and one place, if it is named, is laid anew.
+    fn lay(&mut self, size: usize, anew: Option<usize>) {
+        fn lay<T: Clone>(column: &mut Vec<T>, (size, anew): (usize, Option<usize>), blank: T) {
+            column.resize(size, blank.clone());
+            anew.into_iter().for_each(|e| column[e] = blank.clone());
+        }
+        let how = (size, anew);
+        for numbers in [&mut self.home, &mut self.rank] {
+            lay(numbers, how, 0);
+        }
         for sums in &mut self.heard {
             for figures in [&mut sums.good, &mut sums.failed, &mut sums.time] {
-                figures.resize(size, 0.0);
+                lay(figures, how, 0.0);
             }
             for times in [&mut sums.at, &mut sums.until] {
-                times.resize(size, Duration::ZERO);
+                lay(times, how, Duration::ZERO);
             }
         }
-        self.answers.resize(size, 0);
-        self.quietest.resize(size, f64::INFINITY);
-        self.reported.resize(size, None);
+        lay(&mut self.kind, how, 0);
+        lay(&mut self.answers, how, 0);
+        lay(&mut self.quietest, how, f64::INFINITY);
+        lay(&mut self.reported, how, None);
         for flags in [&mut self.open, &mut self.out, &mut self.probing, &mut self.unlisted] {
-            flags.resize(size, false);
+            lay(flags, how, false);
         }
-        for times in [&mut self.started, &mut self.admitted, &mut self.probed] {
-            times.resize(size, None);
+        for times in [&mut self.started, &mut self.admitted, &mut self.probed, &mut self.gone] {
+            lay(times, how, None);
         }
         let round = [&mut self.good, &mut self.failed, &mut self.time, &mut self.strikes];
         let means = [&mut self.rate, &mut self.busy, &mut self.rounds, &mut self.capacity];
         let others = [&mut self.pace, &mut self.recent, &mut self.recent_failed, &mut self.weight];
         for figures in round.into_iter().chain(means).chain(others) {
-            figures.resize(size, 0.0);
+            lay(figures, how, 0.0);
         }
     }
 
@@ -165,12 +177,12 @@
         let first = self.opened().next().is_none();
         if whole {
             let named: BTreeSet<usize> = entries.iter().map(|entry| entry.endpoint.0 as usize).collect();
-            (0..self.len()).filter(|e| !named.contains(e)).for_each(|e| self.drop_from_list(e, binds));
+            (0..self.len()).filter(|e| !named.contains(e)).for_each(|e| self.drop_from_list(now, e, binds));
         }
         for entry in entries {
             let e = entry.endpoint.0 as usize;
             if entry.phase == Phase::Gone {
-                self.drop_from_list(e, binds);
+                self.drop_from_list(now, e, binds);
                 continue;
             }
             let open = entry.phase == Phase::Running;
@@ -180,17 +192,19 @@
             }
             let home = if homes > 1 { entry.zone.0 as usize } else { 0 };
             if new {
-                self.rank[e] =
-                    (0..self.len()).filter(|&f| self.weight[f] > 0.0 && self.home[f] == home).count();
+                let known = (0..self.len()).filter(|&f| self.weight[f] > 0.0 && self.home[f] == home);
+                let taken: BTreeSet<usize> = known.map(|f| self.rank[f]).collect();
+                self.rank[e] = (0..).find(|rank| !taken.contains(rank)).unwrap_or(0);
             }
-            self.home[e] = home;
+            (self.home[e], self.gone[e]) = (home, None);
             self.kind[e] = entry.kind;
             self.weight[e] = entry.weight.max(f64::MIN_POSITIVE);
             (self.started[e], self.open[e], self.unlisted[e]) = (entry.started, open, false);
         }
     }
 
-    fn drop_from_list(&mut self, e: usize, binds: bool) {
+    fn drop_from_list(&mut self, now: Duration, e: usize, binds: bool) {
+        self.gone[e] = self.gone[e].or(Some(now));
         let stays = !binds && self.open[e];
         (self.unlisted[e], self.open[e]) = (stays, stays);
         (self.answers[e], self.strikes[e]) = (0, 0.0);
@@ -390,6 +404,24 @@
         }
     }
 
+    /// Forgets an endpoint that the list has not had for longest, as long as more are gone than are left: one that
+    /// comes back is known again, and what is kept stays bounded. Nothing under way may name it: no line that is
+    /// held or due, no probe. Its number may then be given to another.
+    pub fn give_back(&mut self) -> Option<EndpointId> {
+        let Fleet { gone, open, capacity, probing, .. } = &self.fleet;
+        let idle = |table: &Table, e: usize| {
+            let none = |weights: &[f64]| weights.get(e).is_none_or(|weight| *weight == 0.0);
+            none(&table.sent) && none(&table.weight) && !table.due.contains(&e)
+        };
+        let under_way = |e: usize| open[e] || probing[e] || capacity[e] > 0.0;
+        let free = |e: &usize| !under_way(*e) && self.tables.iter().all(|table| idle(table, *e));
+        let many = gone.iter().flatten().count() * 2 > gone.len();
+        let known = (0..gone.len()).filter(|_| many).filter_map(|e| Some((gone[e]?, e)));
+        let (_, e) = known.filter(|(_, e)| free(e)).min()?;
+        self.fleet.lay(self.fleet.len(), Some(e));
+        Some(EndpointId(e as u32))
+    }
+
     pub(crate) fn age(&self, e: usize) -> Duration {
         self.fleet.started[e].map_or(Duration::MAX, |at| self.now.saturating_sub(at))
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -239,6 +239,35 @@
     assert!(busy < 30.0 && calm > 1000.0, "{busy} {calm}");
 }
 
+#[test]
+fn endpoints_replaced_for_ever_under_new_names_take_no_more_numbers_than_a_fleet_and_its_last() {
+    let mut host = Host::running(deployment(), 6);
+    let (mut free, mut listed_now, mut next) = (Vec::new(), (0..6).collect::<Vec<u32>>(), 6);
+    for _ in 0..60 {
+        let (gone, new) = (listed_now.remove(0), free.pop().unwrap_or(next));
+        next = next.max(new + 1);
+        host.list(false, &[listed(new, new % 2), Listed { phase: Phase::Gone, ..listed(gone, 0) }]);
+        listed_now.push(new);
+        let busy = listed_now.clone();
+        host.seconds(2, 15.0, move |e| busy.contains(&e).then_some((10.0, 0.0, 0.5)));
+        free.extend(std::iter::from_fn(|| host.pilot.give_back()).map(|endpoint| endpoint.0));
+        // What is given back is in no table, and known no more.
+        assert!(free.iter().all(|e| !listed_now.contains(e) && host.share(0, *e) == 0.0));
+    }
+    assert!(next <= 16, "{next}");
+    assert!(listed_now[..5].iter().all(|&e| host.share(0, e) > 0.1), "{:?}", host.tables);
+}
+
+#[test]
+fn an_endpoint_that_left_keeps_its_number_while_a_probe_is_under_way_or_a_line_waits() {
+    let mut host = Host::running(Deployment { messages: Some(1), ..deployment() }, 2);
+    host.seconds(4, 15.0, |e| (e < 2).then_some((10.0, 0.0, 0.5)));
+    host.list(true, &[listed(2, 0)]);
+    assert_eq!(host.pilot.give_back(), None);
+    host.seconds(12, 15.0, |e| (e == 2).then_some((10.0, 0.0, 0.5)));
+    assert_eq!(host.pilot.give_back(), Some(EndpointId(0)));
+}
+
 #[test]
 fn calls_stay_at_home_until_it_is_full() {
     let mut host = Host::running(homes(), 6);
