Reports whose failed calls came in the second before are good ones

It holds for tries only, which are told of as they end: none was left out for it. At fault: Frame::calls in pilot/src/collectors.rs.

--- a/pilot/src/collectors.rs
+++ b/pilot/src/collectors.rs
@@ -89,16 +89,17 @@
 }
 
 impl Frame<'_> {
-    /// The calls that it tells of, how many of them failed, and in what time they came.
+    /// The calls that came, how many failed, and in what time: those that failed may have come in an earlier one.
     fn calls(&self) -> Option<(f64, f64, Duration)> {
         let span = span(self.interval, LONGEST_SPAN).filter(|span| !span.is_zero())?;
-        let total = amount(self.total, MOST_CALLS * span.as_secs_f64().max(1.0))?;
-        Some((total, amount(self.errors, total)?, span))
+        let most = MOST_CALLS * span.as_secs_f64().max(1.0);
+        Some((amount(self.total, most)?, amount(self.errors, most)?, span))
     }
 
     fn admit_outcomes(self, terms: &Terms) -> Option<Call> {
         let zone = ZoneId(place(&terms.zones, &self.locality)?);
-        let (tries, failed, span_of_sums) = self.calls()?;
+        // Tries are told of as they end, so that none fails that is not among them.
+        let (tries, failed, span_of_sums) = self.calls().filter(|(tries, failed, _)| failed <= tries)?;
         // Where no try went well there is no time to tell.
         let rtt = self.rtt.or((failed >= tries).then_some(0.0));
         let busy = match self.metrics.as_ref().and_then(|load| load.busy.or(load.util)) {
