--- a/pilot/tests/stories.rs
+++ b/crates/pilot/tests/stories.rs
@@ -48,7 +48,7 @@
 
 /// What tells a pilot of this fleet, which last knew of this list.
 fn configuration(fleet: &Fleet, known: Value) -> Value {
-    let mut all: Value = serde_json::from_str(include_str!("../../examples/pilot.json")).unwrap();
+    let mut all: Value = serde_json::from_str(include_str!("../../../examples/pilot.json")).unwrap();
     (all["listen"], all["known"]) = (json!("127.0.0.1:0"), known);
     (all["discovery"], all["store"]["address"]) = (json!(fleet.discovery.get()), json!(fleet.relay.get()));
     all
@@ -579,7 +579,7 @@
 #[test]
 fn a_bad_configuration_ends_it_with_one_line_that_says_what_is_wrong() {
     play(async {
-        let good = include_str!("../../examples/pilot.json");
+        let good = include_str!("../../../examples/pilot.json");
         let stories = [
             ("{", "EOF"),
             (&good.replace("\"seed\"", "\"sead\""), "missing field `seed`"),
