Host and fleet get packages of their own; platform's lists go through the fleet core

Need: further sources of endpoints beside the platform's discovery, through one place that decides what is stale, gone or may come back, and a host that knows no peer.

Change: crates/host owns the module, its timers and the numbers of names (Desk, Seat, Roster, trait Front); the circle of decide, discovery and start is cut by lists.rs. crates/fleet merges sources' words without I/O or clock: epochs and revisions, tombstones, lives, flapping, pace. The platform's discovery is a direct source there: word for word as before. Logging is tracing's, with our bound on lines as a filter.

--- /dev/null
+++ b/crates/fleet/src/word.rs
@@ -0,0 +1,151 @@
+//! What sources say, and what is handed on. No decision lives here.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dahliaroad::interface::ZoneId;
+
+use crate::pace::Pace;
+
+/// A source, by its place among those that were added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SourceId(pub u16);
+
+/// Within an epoch a source's revisions only grow; those of different epochs cannot be compared. Later ones have
+/// higher numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Epoch(pub u32);
+
+/// A place in a source's history: etcd's revision, an index, a serial.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+/// Which life of a name this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life {
+    /// Its start, as it says itself, since 1970; `None` where it says none.
+    pub started: Option<Duration>,
+    /// Where in its source's history the name was last made anew.
+    pub created: Revision,
+}
+
+/// What may be sent to an endpoint, the more the earlier.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    #[default]
+    Running,
+    /// To be sent nothing for now, by a health check or for maintenance: it may come back as it is.
+    Aside,
+    /// Completes its work and is to be sent nothing new in this life.
+    Draining,
+}
+
+/// An endpoint as one source has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub life: Life,
+    pub dial: Option<SocketAddr>,
+    pub zone: ZoneId,
+    /// The kind of machine, by number.
+    pub kind: u32,
+    pub weight: f64,
+    pub standing: Standing,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    Listed(Entry),
+    /// There, in words that cannot be read: what was last known of it stands.
+    Unreadable,
+    /// Not there any more.
+    Gone,
+}
+
+/// What is said of one name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub name: Arc<str>,
+    /// Where in the source's history this was said.
+    pub at: Revision,
+    pub what: What,
+}
+
+/// What a source says at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// All there is as of a revision: who is missing is gone.
+    Whole { epoch: Epoch, revision: Revision, entries: Vec<Told> },
+    /// All that changed behind `after`, up to and with `revision`, in order; each revision whole.
+    Changes { epoch: Epoch, after: Revision, revision: Revision, entries: Vec<Told> },
+    /// Nothing has changed up to here.
+    Nothing { epoch: Epoch, revision: Revision },
+}
+
+/// What became of a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Taken,
+    /// Older than what is known, or known already: left out.
+    Stale,
+    /// Something between what is known and this is missing: the source has to tell the whole.
+    Gap,
+}
+
+/// Whether a name may come back in a life that was drained or gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Returns {
+    /// The source drops and relists what lives on, and its last word holds.
+    AsTold,
+    /// Only a new life comes back.
+    InNewLife,
+}
+
+#[derive(Clone, Debug)]
+pub struct SourceTerms {
+    pub name: String,
+    pub returns: Returns,
+    /// How fast changes are handed on; `None`: word for word, as they come.
+    pub pace: Option<Pace>,
+}
+
+impl SourceTerms {
+    /// One that has to show a new life, and is paced.
+    pub fn new(name: &str) -> SourceTerms {
+        SourceTerms { name: name.to_owned(), returns: Returns::InNewLife, pace: Some(Pace::default()) }
+    }
+
+    /// One whose words go through as they are.
+    pub fn direct(name: &str) -> SourceTerms {
+        SourceTerms { name: name.to_owned(), returns: Returns::AsTold, pace: None }
+    }
+}
+
+/// What is kept of the dead.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Lives that are remembered; beyond, the longest dead are forgotten.
+    pub dead: usize,
+    /// How long each is remembered: as long as a backup that still lists it may be restored.
+    pub dead_for: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { dead: 20_000, dead_for: Duration::from_secs(24 * 3600) }
+    }
+}
+
+/// What the module is to hear of one name; `None`: gone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Handed {
+    pub name: Arc<str>,
+    pub entry: Option<Entry>,
+}
+
+/// What the module is to hear at one moment. A whole list has no other endpoints than these.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Handover {
+    pub whole: bool,
+    pub entries: Vec<Handed>,
+}
--- /dev/null
+++ b/crates/fleet/tests/stories.rs
@@ -0,0 +1,290 @@
+//! One story for each hard case of who is there.
+
+use std::time::Duration;
+
+use dahliaroad::interface::ZoneId;
+use dahliaroad_fleet::*;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn entry(started_ms: u64, created: u64, standing: Standing) -> Entry {
+    let started = (started_ms > 0).then(|| Duration::from_millis(started_ms));
+    let life = Life { started, created: Revision(created) };
+    Entry { life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing }
+}
+
+fn told(name: &str, at: u64, what: What) -> Told {
+    Told { name: name.into(), at: Revision(at), what }
+}
+
+fn runs(name: &str, started_ms: u64, created: u64) -> Told {
+    told(name, created, What::Listed(entry(started_ms, created, Standing::Running)))
+}
+
+fn whole(epoch: u32, revision: u64, entries: Vec<Told>) -> Word {
+    Word::Whole { epoch: Epoch(epoch), revision: Revision(revision), entries }
+}
+
+fn changes(epoch: u32, after: u64, revision: u64, entries: Vec<Told>) -> Word {
+    Word::Changes { epoch: Epoch(epoch), after: Revision(after), revision: Revision(revision), entries }
+}
+
+struct Stage {
+    fleet: Fleet,
+    sources: Vec<SourceId>,
+}
+
+impl Stage {
+    fn new(count: usize) -> Stage {
+        let mut fleet = Fleet::new(Bounds::default());
+        let sources = (0..count).map(|place| fleet.add(SourceTerms::new(&format!("s{place}")))).collect();
+        Stage { fleet, sources }
+    }
+
+    fn hear(&mut self, now: Duration, word: Word) -> Verdict {
+        self.fleet.hear(now, self.sources[0], word).verdict
+    }
+
+    /// What is handed on at this time, by name and standing.
+    fn hand(&mut self, now: Duration) -> Vec<(String, Option<Standing>)> {
+        let entries = self.fleet.hand(now).map(|handover| handover.entries).unwrap_or_default();
+        entries.into_iter().map(|of| (of.name.to_string(), of.entry.map(|entry| entry.standing))).collect()
+    }
+
+    fn running(&self) -> Vec<String> {
+        let running = self.fleet.believed().filter(|(_, entry)| entry.standing == Standing::Running);
+        running.map(|(name, _)| name.to_string()).collect()
+    }
+}
+
+#[test]
+fn who_is_missing_from_a_whole_list_is_gone_at_once_and_an_empty_one_is_a_list() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 5, vec![runs("a", 0, 2), runs("b", 0, 3)]));
+    assert_eq!(stage.hand(NOW).len(), 2);
+    stage.hear(NOW, whole(1, 9, vec![runs("b", 0, 3)]));
+    assert_eq!(stage.hand(NOW), [("a".into(), None)]);
+    stage.hear(NOW, whole(1, 10, vec![]));
+    assert_eq!(stage.hand(NOW), [("b".into(), None)]);
+}
+
+#[test]
+fn a_first_list_that_is_empty_is_told_as_one() {
+    let mut stage = Stage::new(1);
+    assert_eq!(stage.fleet.hand(NOW), None);
+    stage.hear(NOW, whole(1, 1, vec![]));
+    assert_eq!(stage.fleet.hand(NOW), Some(Handover { whole: true, entries: vec![] }));
+}
+
+#[test]
+fn words_that_are_stale_repeated_or_do_not_follow_change_nothing() {
+    let mut stage = Stage::new(1);
+    assert_eq!(stage.hear(NOW, changes(1, 4, 5, vec![])), Verdict::Gap);
+    stage.hear(NOW, whole(2, 10, vec![runs("a", 0, 2)]));
+    stage.hand(NOW);
+    for stale in
+        [whole(2, 9, vec![]), whole(1, 99, vec![]), changes(2, 8, 10, vec![]), changes(2, 3, 9, vec![])]
+    {
+        assert_eq!(stage.hear(NOW, stale), Verdict::Stale);
+    }
+    for gap in [changes(2, 11, 12, vec![]), changes(3, 10, 11, vec![])] {
+        assert_eq!(stage.hear(NOW, gap), Verdict::Gap);
+    }
+    assert_eq!(stage.running(), ["a"]);
+}
+
+#[test]
+fn silence_is_no_empty_list_and_its_age_is_told() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
+    stage.hand(NOW);
+    let later = NOW + Duration::from_secs(3600);
+    assert_eq!(stage.hand(later), []);
+    assert_eq!(stage.fleet.states()[0].heard, Some(NOW));
+    stage.hear(later, Word::Nothing { epoch: Epoch(1), revision: Revision(12) });
+    assert_eq!(stage.fleet.states()[0].heard, Some(later));
+    assert_eq!(stage.hear(later, changes(1, 12, 13, vec![told("a", 13, What::Gone)])), Verdict::Taken);
+    assert_eq!(stage.hand(later), [("a".into(), None)]);
+}
+
+#[test]
+fn a_drain_is_not_taken_back_short_of_a_new_life() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 500, 2)]));
+    stage.hand(NOW);
+    let drained = told("a", 11, What::Listed(entry(500, 2, Standing::Draining)));
+    stage.hear(NOW, changes(1, 10, 11, vec![drained]));
+    assert_eq!(stage.hand(NOW), [("a".into(), Some(Standing::Draining))]);
+    // Written over, or deleted and registered again, it is the same process.
+    stage.hear(NOW, changes(1, 11, 12, vec![told("a", 12, What::Listed(entry(500, 2, Standing::Running)))]));
+    stage.hear(NOW, changes(1, 12, 14, vec![told("a", 13, What::Gone), runs("a", 500, 14)]));
+    assert_eq!(stage.running(), [""; 0]);
+    stage.hear(NOW, changes(1, 14, 15, vec![told("a", 15, What::Listed(entry(900, 14, Standing::Running)))]));
+    assert_eq!(stage.running(), ["a"]);
+}
+
+#[test]
+fn one_that_was_only_lost_comes_back_once_it_is_registered_anew() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 500, 2)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Gone)]));
+    stage.hear(NOW, changes(1, 11, 12, vec![runs("a", 500, 12)]));
+    assert_eq!(stage.running(), ["a"]);
+}
+
+#[test]
+fn a_restored_backup_brings_none_of_the_dead_back() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2), runs("b", 700, 3), runs("c", 700, 4)]));
+    stage.hear(NOW, changes(1, 10, 12, vec![told("a", 11, What::Gone), told("b", 12, What::Gone)]));
+    stage.hear(NOW, changes(1, 12, 13, vec![runs("b", 800, 13)]));
+    stage.hand(NOW);
+    stage.hear(NOW, whole(2, 10, vec![runs("a", 0, 2), runs("b", 700, 3), runs("c", 700, 4)]));
+    assert_eq!(stage.running(), ["c"]);
+    assert_eq!(stage.fleet.counts.barred, 2);
+    // Registered anew after the restore, they come back.
+    stage.hear(NOW, changes(2, 10, 12, vec![runs("a", 0, 11), runs("b", 900, 12)]));
+    assert_eq!(stage.running(), ["a", "b", "c"]);
+}
+
+#[test]
+fn what_is_still_listed_is_not_forgotten_with_the_dead() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Gone)]));
+    stage.hear(NOW, whole(2, 10, vec![runs("a", 0, 2)]));
+    let long_after = NOW + Bounds::default().dead_for * 2;
+    stage.hear(long_after, whole(2, 11, vec![runs("a", 0, 2)]));
+    assert_eq!(stage.fleet.dead(), 0);
+    assert_eq!(stage.running(), [""; 0]);
+}
+
+#[test]
+fn delete_and_put_in_one_batch_end_one_life_and_begin_another() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
+    stage.hand(NOW);
+    let later = NOW + Duration::from_secs(1);
+    stage.hear(later, changes(1, 10, 12, vec![told("a", 11, What::Gone), runs("a", 0, 12)]));
+    assert_eq!(stage.hand(later), [("a".into(), None), ("a".into(), Some(Standing::Running))]);
+}
+
+#[test]
+fn what_cannot_be_read_costs_itself_alone() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2), told("b", 3, What::Unreadable)]));
+    assert_eq!(stage.running(), ["a"]);
+    // What was last known of it stands, in changes and in a whole list.
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Unreadable)]));
+    stage.hear(NOW, whole(1, 12, vec![told("a", 11, What::Unreadable)]));
+    assert_eq!(stage.running(), ["a"]);
+    assert_eq!(stage.fleet.counts.unreadable, 3);
+}
+
+#[test]
+fn one_that_comes_and_goes_is_held_back_longer_each_time_and_its_going_never_waits() {
+    let mut stage = Stage::new(1);
+    let (mut now, mut at) = (NOW, 10);
+    stage.hear(now, whole(1, at, vec![runs("a", 0, 2)]));
+    stage.hand(now);
+    let mut held = Vec::new();
+    for _ in 0..5 {
+        now += Duration::from_secs(40);
+        stage.hear(now, changes(1, at, at + 1, vec![told("a", at + 1, What::Gone)]));
+        assert_eq!(stage.hand(now), [("a".into(), None)]);
+        stage.hear(now, changes(1, at + 1, at + 2, vec![runs("a", 0, at + 2)]));
+        at += 2;
+        let (went, end) = (now, now + Duration::from_secs(39));
+        while stage.hand(now).is_empty() && now < end {
+            now = stage.fleet.due().expect("it comes").max(now + Duration::from_millis(1));
+        }
+        held.push((now - went).as_secs_f64());
+    }
+    assert!(held[0] < 0.1 && held[1] >= 1.0 && held[2] >= 2.0 && held[4] >= 8.0, "{held:?}");
+}
+
+#[test]
+fn a_storm_of_changes_is_paced_and_drains_go_first() {
+    let mut stage = Stage::new(1);
+    let pace = Pace::default();
+    let many = 3 * pace.burst as u64;
+    let all: Vec<Told> = (0..many).map(|place| runs(&format!("e{place}"), 0, place + 1)).collect();
+    // The first list is one handover, whatever its size.
+    stage.hear(NOW, whole(1, many, all));
+    assert_eq!(stage.hand(NOW).len(), many as usize);
+    let heavier = |place: u64| {
+        let at = many + 1 + place;
+        let entry = Entry { weight: 2.0, ..entry(0, place + 1, Standing::Running) };
+        told(&format!("e{place}"), at, What::Listed(entry))
+    };
+    let mut entries: Vec<Told> = (0..many - 1).map(heavier).collect();
+    entries.push(told(&format!("e{}", many - 1), 2 * many, What::Gone));
+    let later = NOW + Duration::from_secs(10);
+    stage.hear(later, changes(1, many, 2 * many, entries));
+    let first = stage.hand(later);
+    assert!(first.contains(&(format!("e{}", many - 1), None)));
+    assert!(first.len() <= pace.burst as usize + 1, "{}", first.len());
+    let mut seconds = 0;
+    while stage.fleet.due().is_some() {
+        seconds += 1;
+        stage.hand(later + Duration::from_secs(seconds));
+    }
+    assert!((4..=10).contains(&seconds), "{seconds}");
+}
+
+#[test]
+fn of_two_sources_the_first_tells_the_figures_and_either_drains() {
+    let mut stage = Stage::new(2);
+    let [first, second] = [stage.sources[0], stage.sources[1]];
+    let light = Told {
+        what: What::Listed(Entry { weight: 0.5, ..entry(500, 1, Standing::Running) }),
+        ..runs("a", 0, 1)
+    };
+    stage.fleet.hear(NOW, first, whole(1, 5, vec![runs("a", 500, 2)]));
+    stage.fleet.hear(NOW, second, whole(1, 5, vec![light.clone()]));
+    assert_eq!(stage.fleet.believed().next().unwrap().1.weight, 1.0);
+    // One that only one of them drops lives on, with the other's figures.
+    stage.fleet.hear(NOW, first, whole(1, 6, vec![]));
+    assert_eq!(stage.fleet.believed().next().unwrap().1.weight, 0.5);
+    stage.fleet.hear(NOW, first, whole(1, 7, vec![runs("a", 500, 7)]));
+    let drained = told("a", 8, What::Listed(entry(500, 7, Standing::Draining)));
+    stage.fleet.hear(NOW, first, changes(1, 7, 8, vec![drained]));
+    assert_eq!(stage.running(), [""; 0]);
+    // It went as it was told to: that the other lists it still means nothing.
+    stage.fleet.hear(NOW, first, changes(1, 8, 9, vec![told("a", 9, What::Gone)]));
+    stage.fleet.hear(NOW, second, whole(1, 6, vec![light]));
+    assert_eq!(stage.running(), [""; 0]);
+}
+
+#[test]
+fn one_set_aside_comes_back_as_it_is() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
+    stage.hand(NOW);
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Listed(entry(0, 2, Standing::Aside)))]));
+    assert_eq!(stage.hand(NOW), [("a".into(), Some(Standing::Aside))]);
+    let later = NOW + Duration::from_secs(5);
+    stage.hear(later, changes(1, 11, 12, vec![told("a", 12, What::Listed(entry(0, 2, Standing::Running)))]));
+    assert_eq!(stage.hand(later), [("a".into(), Some(Standing::Running))]);
+}
+
+#[test]
+fn the_platforms_words_go_through_as_they_come() {
+    let mut fleet = Fleet::new(Bounds::default());
+    let source = fleet.add(SourceTerms::direct("discovery"));
+    let heard = fleet.hear(NOW, source, whole(0, 5, vec![runs("b", 0, 0), runs("a", 0, 0)]));
+    let names = |heard: Heard| -> Vec<String> {
+        heard.handover.unwrap().entries.iter().map(|of| of.name.to_string()).collect()
+    };
+    assert_eq!(names(heard), ["b", "a"]);
+    for epoch in 0..2 {
+        // It drops and relists what lives on, and begins anew with lower versions.
+        fleet.hear(NOW, source, whole(epoch, 5, vec![runs("a", 0, 0)]));
+        let heard = fleet.hear(NOW, source, changes(epoch, 6, 6, vec![told("a", 6, What::Gone)]));
+        assert_eq!(heard.handover.unwrap().entries[0].entry, None);
+        let heard = fleet.hear(NOW, source, changes(epoch, 7, 7, vec![runs("a", 0, 0)]));
+        assert!(heard.handover.unwrap().entries[0].entry.is_some());
+        assert_eq!(fleet.hear(NOW, source, changes(epoch, 3, 3, vec![])).verdict, Verdict::Stale);
+    }
+    assert_eq!(fleet.hand(NOW), None);
+}
--- /dev/null
+++ b/crates/host/src/counters.rs
@@ -0,0 +1,53 @@
+//! Counts of what is taken in, sent and answered. Each package declares its own; the program prints them all.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+pub struct Counter(&'static str, AtomicU64);
+
+impl Counter {
+    pub const fn new(text: &'static str) -> Counter {
+        Counter(text, AtomicU64::new(0))
+    }
+
+    pub fn add(&self, count: usize) {
+        self.1.fetch_add(count as u64, Relaxed);
+    }
+
+    /// For what is counted elsewhere.
+    pub fn set(&self, count: usize) {
+        self.1.store(count as u64, Relaxed);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.1.load(Relaxed)
+    }
+}
+
+/// Declares counters, and `ALL` of them.
+#[macro_export]
+macro_rules! counters {
+    ($($name:ident: $text:literal,)*) => {
+        $(pub static $name: $crate::counters::Counter = $crate::counters::Counter::new($text);)*
+        pub static ALL: &[&$crate::counters::Counter] = &[$(&$name,)*];
+    };
+}
+
+counters! {
+    TURNS: "turns of the decisions",
+    LISTS: "lists taken in",
+    GIVEN_BACK: "endpoints' numbers given back",
+    STALE: "stale words of sources left out",
+    GAPS: "gaps in what sources told",
+    BARRED: "listings of lives that were over",
+    HELD: "returns held back as flapping",
+}
+
+/// All counters in one line.
+pub fn line(all: &[&[&Counter]]) -> String {
+    let mut line = String::from("counters:");
+    for Counter(text, count) in all.iter().copied().flatten() {
+        let _ = write!(line, " {text} {};", count.load(Relaxed));
+    }
+    line
+}
--- a/crates/pilot/src/decide.rs
+++ b/crates/host/src/desk.rs
@@ -1,20 +1,17 @@
-//! Owns the module and its timers. Peers' tasks hand in calls of its methods through a bounded channel;
-//! orders leave through the relay's box and the probes' channel, neither of which can hold it up.
+//! Calls in, orders out. Peers' tasks hand in calls of the module's methods through a bounded channel; orders
+//! leave through a front and the probes' channel, neither of which can hold it up.
 
-use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dahliaroad::Pilot;
 use dahliaroad::interface::{EndpointId, Orders, ProbeEnd};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::counters;
-use crate::endpoints::Probe;
-use crate::relay::Outbox;
+use crate::roster::Roster;
+use crate::seat::Seat;
 
 /// Inputs that may wait; more than a second's sums, so that a burst does not slow its collector down.
 const WAITING: usize = 1024;
@@ -23,6 +20,20 @@
 /// The module asks to be woken; should it ever not, it is all the same.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
+/// Where orders go: it writes them out and keeps what cannot go yet, and holds nobody up.
+pub trait Front {
+    fn send(&self, orders: &Orders, roster: &Roster);
+
+    /// All that was ordered at one moment is in: it may go.
+    fn release(&self);
+}
+
+/// A question to an endpoint, to be answered by [`Pilot::probed`](dahliaroad::Pilot::probed) exactly once.
+pub struct Probe {
+    pub endpoint: EndpointId,
+    pub dial: SocketAddr,
+}
+
 /// What a peer's task hands in: it calls a method of the module at the time given.
 pub type Call = Box<dyn FnOnce(&mut Seat, Duration) -> Orders>;
 
@@ -42,56 +53,6 @@
     }
 }
 
-/// The numbers that endpoints' names stand under, and where each listens.
-#[derive(Default)]
-pub struct Roster {
-    numbers: HashMap<Arc<str>, u32>,
-    names: Vec<Arc<str>>,
-    dials: Vec<Option<SocketAddr>>,
-    /// Numbers that were given back.
-    free: BTreeSet<u32>,
-}
-
-impl Roster {
-    pub fn find(&self, name: &str) -> Option<EndpointId> {
-        self.numbers.get(name).copied().map(EndpointId)
-    }
-
-    pub fn list(&mut self, name: &str, dial: Option<SocketAddr>) -> EndpointId {
-        let number = self.find(name).unwrap_or_else(|| {
-            let (number, name) = (self.free.pop_first(), Arc::<str>::from(name));
-            let number = number.unwrap_or(self.names.len() as u32);
-            self.names.resize(self.names.len().max(number as usize + 1), name.clone());
-            self.dials.resize(self.names.len(), None);
-            self.names[number as usize] = name.clone();
-            self.numbers.insert(name, number);
-            EndpointId(number)
-        });
-        self.dials[number.0 as usize] = dial.or(self.dials[number.0 as usize]);
-        number
-    }
-
-    pub fn give_back(&mut self, endpoint: EndpointId) {
-        counters::GIVEN_BACK.add(1);
-        self.numbers.remove(&self.names[endpoint.0 as usize]);
-        self.dials[endpoint.0 as usize] = None;
-        self.free.insert(endpoint.0);
-    }
-
-    pub fn dial(&self, endpoint: EndpointId) -> Option<SocketAddr> {
-        self.dials[endpoint.0 as usize]
-    }
-
-    pub fn name(&self, endpoint: EndpointId) -> Arc<str> {
-        self.names[endpoint.0 as usize].clone()
-    }
-}
-
-pub struct Seat {
-    pub pilot: Pilot,
-    pub roster: Roster,
-}
-
 /// Time since 1970 as it was at the start, carried on by a clock that never jumps: endpoints' starts are told
 /// in Unix time.
 struct Clock {
@@ -108,6 +69,10 @@
     fn read(&self) -> Duration {
         self.since_1970 + self.start.elapsed()
     }
+
+    fn at(&self, time: Duration) -> Instant {
+        self.start + time.saturating_sub(self.since_1970)
+    }
 }
 
 /// Takes up what came in together in one turn, as its orders make one message to each proxy; turns are at
@@ -115,14 +80,15 @@
 pub async fn run(
     mut seat: Seat,
     mut calls: mpsc::Receiver<Call>,
-    outbox: Rc<Outbox>,
+    front: Rc<impl Front>,
     probes: mpsc::Sender<Probe>,
     turn: Duration,
 ) {
     let clock = Clock::new();
     let mut wake_at = Instant::now();
-    let mut taken = Vec::new();
+    let mut taken: Vec<Call> = Vec::new();
     loop {
+        let hand_at = seat.fleet.due().map_or(wake_at, |due| clock.at(due)).min(wake_at);
         tokio::select! {
             _ = calls.recv_many(&mut taken, A_TURN) => {
                 sleep(turn).await;
@@ -130,7 +96,7 @@
                     taken.push(call);
                 }
             }
-            () = sleep_until(wake_at) => {}
+            () = sleep_until(hand_at) => {}
         }
         counters::TURNS.add(1);
         let now = clock.read();
@@ -138,12 +104,13 @@
             wake_at = Instant::now() + LONGEST_SLEEP;
             taken.push(Box::new(|seat, now| seat.pilot.woken(now)));
         }
+        taken.push(Box::new(Seat::hand_over));
         while !taken.is_empty() {
             for call in std::mem::take(&mut taken) {
                 let orders = call(&mut seat, now);
-                outbox.send(&orders, &seat.roster);
+                front.send(&orders, &seat.roster);
                 // The list need not be asked for: a watch stands all the time.
-                orders.notes.iter().for_each(|note| log::info!("{note}"));
+                orders.notes.iter().for_each(|note| tracing::info!("{note}"));
                 wake_at = orders.wake_after.map_or(wake_at, |after| Instant::now() + after);
                 for endpoint in orders.probes {
                     let probe = seat.roster.dial(endpoint).map(|dial| Probe { endpoint, dial });
@@ -155,6 +122,6 @@
                 }
             }
         }
-        outbox.release();
+        front.release();
     }
 }
--- /dev/null
+++ b/crates/host/src/seat.rs
@@ -0,0 +1,77 @@
+//! The module, the fleet it is told of, and the numbers between them.
+
+use std::time::Duration;
+
+use dahliaroad::Pilot;
+use dahliaroad::interface::{Listed, Orders, Phase, ZoneId};
+use dahliaroad_fleet::{Fleet, Handed, Handover, SourceId, Standing, Verdict, Word};
+
+use crate::counters;
+use crate::roster::Roster;
+
+pub struct Seat {
+    pub pilot: Pilot,
+    pub roster: Roster,
+    pub fleet: Fleet,
+}
+
+impl Seat {
+    pub fn new(pilot: Pilot, fleet: Fleet) -> Seat {
+        Seat { pilot, roster: Roster::default(), fleet }
+    }
+
+    /// A source's word; what the module is to hear of it later goes by [`hand_over`](Seat::hand_over).
+    pub fn hear(&mut self, now: Duration, from: SourceId, word: Word) -> (Verdict, Orders) {
+        let heard = self.fleet.hear(now, from, word);
+        let counts = self.fleet.counts;
+        let told = [
+            (&counters::STALE, counts.stale),
+            (&counters::GAPS, counts.gaps),
+            (&counters::BARRED, counts.barred),
+        ];
+        told.into_iter().for_each(|(counter, count)| counter.set(count));
+        (heard.verdict, heard.handover.map_or_else(Orders::default, |handover| self.list(now, handover)))
+    }
+
+    /// Tells the module what is due of what sources said.
+    pub fn hand_over(&mut self, now: Duration) -> Orders {
+        let handover = self.fleet.hand(now);
+        counters::HELD.set(self.fleet.counts.held);
+        handover.map_or_else(Orders::default, |handover| self.list(now, handover))
+    }
+
+    fn list(&mut self, now: Duration, handover: Handover) -> Orders {
+        counters::LISTS.add(1);
+        let entries: Vec<Listed> = handover.entries.iter().filter_map(|handed| self.listed(handed)).collect();
+        let orders = self.pilot.list(now, handover.whole, &entries);
+        while let Some(gone) = self.pilot.give_back() {
+            self.roster.give_back(gone);
+        }
+        orders
+    }
+
+    /// One that is gone and was never numbered is none of the module's.
+    fn listed(&mut self, handed: &Handed) -> Option<Listed> {
+        Some(match &handed.entry {
+            Some(entry) => Listed {
+                endpoint: self.roster.list(&handed.name, entry.dial),
+                zone: entry.zone,
+                kind: entry.kind,
+                weight: entry.weight,
+                started: entry.life.started,
+                phase: match entry.standing {
+                    Standing::Running => Phase::Running,
+                    Standing::Aside | Standing::Draining => Phase::Draining,
+                },
+            },
+            None => Listed {
+                endpoint: self.roster.find(&handed.name)?,
+                zone: ZoneId(0),
+                kind: 0,
+                weight: 0.0,
+                started: None,
+                phase: Phase::Gone,
+            },
+        })
+    }
+}
--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::{Came, ClassId, LoadReport, Met, Orders, ProxyId, ZoneId};
+use dahliaroad_host::{Call, Desk};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,7 +20,6 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::counters;
-use crate::decide::{Call, Desk};
 use crate::start::Limits;
 
 const LONGEST: u32 = 1 << 20;
@@ -209,7 +209,7 @@
             None if visit.is_known() && spoilt < SPOILT_IN_A_ROW => {
                 spoilt += 1;
                 counters::SPOILT.add(1);
-                log::warn!(
+                tracing::warn!(
                     "collectors: left out: {}",
                     String::from_utf8_lossy(&bytes[..bytes.len().min(200)])
                 );
@@ -292,7 +292,7 @@
             Ok((stream, _)) => stream,
             // Out of descriptors, most likely: others are given back soon.
             Err(error) => {
-                log::warn!("collectors: {error}");
+                tracing::warn!("collectors: {error}");
                 sleep(PAUSE).await;
                 continue;
             }
@@ -312,7 +312,7 @@
                 let silent = error.kind() == io::ErrorKind::TimedOut;
                 if silent { &counters::STRANGERS } else { &counters::BROKEN }.add(1);
                 counters::BAD.add(usize::from(error.kind() == io::ErrorKind::InvalidData));
-                log::warn!("collectors: {error}");
+                tracing::warn!("collectors: {error}");
             }
         });
         house.borrow_mut().visits += 1;
--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -1,23 +1,21 @@
 //! The list of endpoints: fetched whole, then followed by a watch that never stands still.
 
-use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use dahliaroad::interface::{Listed, Phase, ZoneId};
+use dahliaroad_fleet::{Epoch, SourceId};
+use dahliaroad_host::Desk;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde_json::value::RawValue;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use crate::counters;
-use crate::decide::{Desk, Roster};
+use crate::lists::{ListMessage, Places};
 use crate::start::Address;
 
 /// The agent is on this machine: what is not there by then is not coming.
@@ -33,84 +31,6 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Far more than any list of endpoints needs.
 const LONGEST: usize = 8 << 20;
-/// No figure of an honest list is larger; sums of such stay finite.
-const LARGEST: f64 = 1e12;
-
-#[derive(Deserialize)]
-pub struct ListMessage {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<Box<RawValue>>,
-}
-
-#[derive(Deserialize)]
-struct Entry<'a> {
-    #[serde(borrow)]
-    host: Cow<'a, str>,
-    dial: SocketAddr,
-    #[serde(borrow)]
-    site: Cow<'a, str>,
-    #[serde(borrow)]
-    class: Cow<'a, str>,
-    #[serde(borrow)]
-    health: Cow<'a, str>,
-    share: f64,
-    born_ms: Option<f64>,
-}
-
-/// What the numbers of zones and kinds are.
-pub struct Places {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
-impl ListMessage {
-    /// The version that changes may follow on; a part of a list is no base for them.
-    pub fn base(&self) -> Option<u64> {
-        self.whole.then_some(self.seq)
-    }
-
-    /// Entries that cannot be admitted are skipped, each by itself: the others still hold.
-    pub fn admit(&self, places: &Places, roster: &mut Roster) -> Vec<Listed> {
-        let mut admit = |host: &RawValue| {
-            let entry = serde_json::from_str::<Entry>(host.get()).ok();
-            let listed = entry.and_then(|entry| entry.admit(places, roster));
-            if listed.is_none() {
-                counters::BAD.add(1);
-                log::warn!("discovery: not admitted: {:.200}", host.get());
-            }
-            listed
-        };
-        self.hosts.iter().filter_map(|host| admit(host)).collect()
-    }
-}
-
-impl Entry<'_> {
-    fn admit(&self, places: &Places, roster: &mut Roster) -> Option<Listed> {
-        let zone = places.zones.iter().position(|zone| *zone == self.site)?;
-        let kinds = &places.kinds;
-        let kind = kinds.iter().position(|kind| *kind == self.class).unwrap_or(kinds.len());
-        let phase = match &*self.health {
-            "active" => Phase::Running,
-            "leaving" => Phase::Draining,
-            "left" => Phase::Gone,
-            _ => return None,
-        };
-        let born = self.born_ms.unwrap_or(0.0) / 1000.0;
-        if ![self.share, born].iter().all(|figure| (0.0..LARGEST).contains(figure)) {
-            return None;
-        }
-        Some(Listed {
-            endpoint: roster.list(&self.host, Some(self.dial)),
-            zone: ZoneId(zone as u32),
-            kind: kind as u32,
-            weight: self.share,
-            started: (born > 0.0).then(|| Duration::from_secs_f64(born)),
-            phase,
-        })
-    }
-}
-
 type Res<T> = Result<T, String>;
 
 /// A connection to the agent, and where it leads.
@@ -147,6 +67,9 @@
     address: Address,
     places: Rc<Places>,
     desk: Desk,
+    source: SourceId,
+    /// Counted up where versions go back.
+    epoch: Epoch,
     /// The version last heard of.
     seq: Option<u64>,
     /// Before the next try.
@@ -156,8 +79,14 @@
 impl Watch {
     /// Goes on from the version that is known: a whole list that says nothing new would have the module split
     /// anew in the middle of the proxies' coming, over the demand of those that are there.
-    pub fn new(address: Address, places: Rc<Places>, desk: Desk, seq: Option<u64>) -> Watch {
-        Watch { address, places, desk, seq, pause: FIRST_PAUSE }
+    pub fn new(
+        address: Address,
+        places: Rc<Places>,
+        desk: Desk,
+        source: SourceId,
+        seq: Option<u64>,
+    ) -> Watch {
+        Watch { address, places, desk, source, epoch: Epoch(0), seq, pause: FIRST_PAUSE }
     }
 
     async fn hear(&mut self) -> Res<()> {
@@ -177,15 +106,16 @@
                     continue;
                 }
             };
-            counters::LISTS.add(1);
             self.pause = FIRST_PAUSE;
             // Versions only go back where discovery began anew: what has changed since is not known then.
-            let unfit = !list.whole && self.seq.is_none_or(|seq| list.seq < seq);
-            self.seq = Some(list.seq).filter(|_| !unfit);
+            let back = self.seq.is_none_or(|seq| list.seq() < seq);
+            self.epoch.0 += u32::from(back);
+            let unfit = !list.is_whole() && back;
+            self.seq = Some(list.seq()).filter(|_| !unfit);
             if unfit {
-                return Err(format!("changes up to {} do not follow", list.seq));
+                return Err(format!("changes up to {} do not follow", list.seq()));
             }
-            if list.whole || !list.hosts.is_empty() {
+            if !list.is_empty() {
                 self.route(list).await;
             }
         }
@@ -193,24 +123,15 @@
 
     /// Hands a list on to the module.
     pub async fn route(&self, list: ListMessage) {
-        let places = self.places.clone();
-        self.desk
-            .tell(Box::new(move |seat, now| {
-                let entries = list.admit(&places, &mut seat.roster);
-                let orders = seat.pilot.list(now, list.whole, &entries);
-                while let Some(endpoint) = seat.pilot.give_back() {
-                    seat.roster.give_back(endpoint);
-                }
-                orders
-            }))
-            .await;
+        let (places, source, epoch) = (self.places.clone(), self.source, self.epoch);
+        self.desk.tell(Box::new(move |seat, now| seat.hear(now, source, list.admit(&places, epoch)).1)).await;
     }
 
     pub async fn follow(mut self) {
         loop {
             if let Err(error) = self.hear().await {
                 counters::WATCHES_LOST.add(1);
-                log::warn!("discovery: {error}");
+                tracing::warn!("discovery: {error}");
                 self.desk.tell(Box::new(|seat, now| seat.pilot.list_failed(now))).await;
             }
             sleep(self.pause).await;
--- a/crates/pilot/src/endpoints.rs
+++ b/crates/pilot/src/endpoints.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dahliaroad::interface::{EndpointId, ProbeEnd};
+use dahliaroad::interface::ProbeEnd;
+use dahliaroad_host::{Desk, Probe};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
@@ -14,7 +15,6 @@
 use tokio::time::{Instant, timeout};
 
 use crate::counters;
-use crate::decide::Desk;
 use crate::start::Limits;
 
 /// Longer than a healthy endpoint's queue, shorter than the pause until the next probe is worth sending.
@@ -24,11 +24,6 @@
 /// Probes under way; each holds a descriptor, and all of them a quarter of the pilot's at most.
 const AT_ONCE: usize = 128;
 
-pub struct Probe {
-    pub endpoint: EndpointId,
-    pub dial: SocketAddr,
-}
-
 async fn ask(dial: SocketAddr, connect_within: Duration) -> ProbeEnd {
     let Ok(Ok(stream)) = timeout(connect_within, TcpStream::connect(dial)).await else {
         return ProbeEnd::Failed;
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -2,10 +2,10 @@
 
 mod collectors;
 mod counters;
-mod decide;
 mod discovery;
 mod endpoints;
-mod log;
+mod lists;
+mod logging;
 mod relay;
 mod start;
 
@@ -15,8 +15,10 @@
 use std::time::Duration;
 
 use dahliaroad::Pilot;
-use decide::{Desk, Roster, Seat};
-use discovery::{ListMessage, Places, Watch};
+use dahliaroad_fleet::{Bounds, Fleet, SourceTerms};
+use dahliaroad_host::{Desk, Seat};
+use discovery::Watch;
+use lists::{ListMessage, Places};
 use relay::Outbox;
 use start::{Renewal, Start};
 use tokio::net::TcpListener;
@@ -41,7 +43,7 @@
     let mut ask = signal(SignalKind::user_defined1())?;
     let mut renew = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(start.listen).await?;
-    ::log::info!("{} listens on {}", start.name, listener.local_addr()?);
+    tracing::info!("{} listens on {}", start.name, listener.local_addr()?);
     let (calls_chance, news_chance) = (start.chance(1), start.chance(2));
     let renewal = Renewal::of(&start);
     let Start { opening, known, limits, .. } = start;
@@ -50,14 +52,16 @@
     let outbox = Rc::new(Outbox::new(classes.clone()));
     let (desk, calls) = Desk::open();
     let (probes, probes_waiting) = mpsc::channel(PROBES_WAITING);
-    let seat = Seat { pilot: Pilot::new(opening.deployment), roster: Roster::default() };
+    let mut fleet = Fleet::new(Bounds::default());
+    let platform = fleet.add(SourceTerms::direct("discovery"));
+    let seat = Seat::new(Pilot::new(opening.deployment), fleet);
     let places = Rc::new(Places { zones: zones.clone(), kinds: opening.kinds });
     let base = known.as_ref().and_then(ListMessage::base);
-    let watch = Watch::new(renewal.discovery(), places, desk.clone(), base);
+    let watch = Watch::new(renewal.discovery(), places, desk.clone(), platform, base);
     let terms = relay::Terms { zones: zones.clone(), proxies };
     let joined = relay::Joined::new(renewal.relay(), terms, outbox.clone(), desk.clone());
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(decide::run(seat, calls, outbox.clone(), probes, opening.turn));
+    tasks.spawn_local(dahliaroad_host::run(seat, calls, outbox.clone(), probes, opening.turn));
     // What was last known of the list stands until discovery has answered.
     if let Some(known) = known {
         watch.route(known).await;
@@ -72,7 +76,7 @@
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = ask.recv() => ::log::info!("{}", counters::line()),
+            _ = ask.recv() => tracing::info!("{}", counters::line()),
             _ = renew.recv() => renewal.renew(),
             task = tasks.join_next() => return Err(ended(task)),
         }
@@ -80,7 +84,7 @@
 }
 
 fn main() -> ExitCode {
-    log::start();
+    logging::start(logging::Form::Text);
     let start = match Start::read() {
         Ok(start) => start,
         Err(error) => {
@@ -95,7 +99,7 @@
         runtime.shutdown_timeout(Duration::ZERO);
         ended
     });
-    ::log::info!("{}", counters::line());
+    tracing::info!("{}", counters::line());
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/pilot/src/relay/calls.rs
+++ b/crates/pilot/src/relay/calls.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::Orders;
+use dahliaroad_host::Desk;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde_json::Value;
@@ -12,7 +13,6 @@
 use super::outbox::{Batch, Order, Outbox};
 use super::{ANSWER_WITHIN, Link, Pause, unreadable};
 use crate::counters;
-use crate::decide::Desk;
 use crate::start::Address;
 
 /// The relay closes idle connections, at some moment up to 10 s: one used just now is still good.
@@ -113,7 +113,7 @@
         Outcome::Taken(count) => {
             counters::SHORT.add(1);
             let stopped = &batch.orders[count].1.bytes;
-            log::warn!("relay: stopped at {}", String::from_utf8_lossy(stopped));
+            tracing::warn!("relay: stopped at {}", String::from_utf8_lossy(stopped));
             outbox.put_back(batch.orders.split_off(count + 1));
         }
         Outcome::Busy => {
@@ -130,7 +130,7 @@
         // Repeated at once: setting the same again changes nothing but for the messages it costs.
         Outcome::Unsure(error) => {
             counters::UNSURE.add(1);
-            log::warn!("relay: a call is repeated: {error}");
+            tracing::warn!("relay: a call is repeated: {error}");
             outbox.put_back(batch.orders);
             if let Some(mark) = batch.mark {
                 desk.tell(Box::new(move |seat, now| {
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use dahliaroad::interface::{Orders, ProxyId, ZoneId};
+use dahliaroad_host::Desk;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 
 use super::{ANSWER_WITHIN, Link, Outbox, Pause, unreadable};
 use crate::counters;
-use crate::decide::Desk;
 use crate::start::Address;
 
 /// Two signs of life missed, and one late.
@@ -173,7 +173,7 @@
             };
             if admitted.is_none() {
                 counters::BAD.add(1);
-                log::warn!("relay: news left out: {:.200}", String::from_utf8_lossy(&link.line));
+                tracing::warn!("relay: news left out: {:.200}", String::from_utf8_lossy(&link.line));
             }
         }
     }
@@ -183,7 +183,7 @@
         loop {
             if let Err(error) = self.hear(&mut pause).await {
                 counters::NEWS_LOST.add(1);
-                log::warn!("relay: news broke off: {error}");
+                tracing::warn!("relay: news broke off: {error}");
             }
             pause.take().await;
         }
--- a/crates/pilot/src/relay/outbox.rs
+++ b/crates/pilot/src/relay/outbox.rs
@@ -5,11 +5,10 @@
 use std::sync::Arc;
 
 use dahliaroad::interface::{ClassSet, Orders, Tries};
+use dahliaroad_host::{Front, Roster};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use crate::decide::Roster;
-
 const LONGEST_CALL: usize = 60_000;
 
 /// What an order sets: a later order for the same takes its place.
@@ -81,40 +80,6 @@
         }
     }
 
-    /// Writes out what the module ordered.
-    pub fn send(&self, orders: &Orders, roster: &Roster) {
-        for &(table, endpoint, weight) in &orders.weights {
-            let name = roster.name(endpoint);
-            let order = json!({"verb": "share", "cluster": table.0, "endpoint": &*name, "w": weight});
-            self.put(Target::Line(table.0, name), &order);
-        }
-        for &(table, classes, level, tries) in &orders.levels {
-            let again = match tries {
-                Tries::Once => 0,
-                Tries::AgainIfNeverRan => 1,
-            };
-            let mut order = json!({"verb": "admit", "cluster": table.0, "gate": level, "again": again});
-            self.name_classes(classes, &mut order);
-            self.put(Target::Level(table.0, classes.0), &order);
-        }
-        for &(proxy, table, classes) in &orders.bindings {
-            let mut order = json!({"verb": "bind", "node": proxy.0, "cluster": table.0});
-            self.name_classes(classes, &mut order);
-            self.put(Target::Binding(proxy.0, classes.0), &order);
-        }
-        if orders.mark.is_some() {
-            self.mark.set(orders.mark);
-            self.put(Target::Mark, &json!({"verb": "mark", "stamp": orders.mark, "set": 0}));
-        }
-    }
-
-    /// All that was ordered at one moment is in: it may go.
-    pub fn release(&self) {
-        if !self.waiting.borrow().is_empty() {
-            self.filled.notify_one();
-        }
-    }
-
     pub async fn filled(&self) {
         self.filled.notified().await;
     }
@@ -168,6 +133,40 @@
     }
 }
 
+impl Front for Outbox {
+    fn send(&self, orders: &Orders, roster: &Roster) {
+        for &(table, endpoint, weight) in &orders.weights {
+            let name = roster.name(endpoint);
+            let order = json!({"verb": "share", "cluster": table.0, "endpoint": &*name, "w": weight});
+            self.put(Target::Line(table.0, name), &order);
+        }
+        for &(table, classes, level, tries) in &orders.levels {
+            let again = match tries {
+                Tries::Once => 0,
+                Tries::AgainIfNeverRan => 1,
+            };
+            let mut order = json!({"verb": "admit", "cluster": table.0, "gate": level, "again": again});
+            self.name_classes(classes, &mut order);
+            self.put(Target::Level(table.0, classes.0), &order);
+        }
+        for &(proxy, table, classes) in &orders.bindings {
+            let mut order = json!({"verb": "bind", "node": proxy.0, "cluster": table.0});
+            self.name_classes(classes, &mut order);
+            self.put(Target::Binding(proxy.0, classes.0), &order);
+        }
+        if orders.mark.is_some() {
+            self.mark.set(orders.mark);
+            self.put(Target::Mark, &json!({"verb": "mark", "stamp": orders.mark, "set": 0}));
+        }
+    }
+
+    fn release(&self) {
+        if !self.waiting.borrow().is_empty() {
+            self.filled.notify_one();
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/pilot/src/start.rs
+++ b/crates/pilot/src/start.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::counters;
-use crate::discovery::ListMessage;
+use crate::lists::ListMessage;
 
 /// Between tries for a new address: what was at the old one goes soon.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -167,15 +167,15 @@
             Ok(new) => new,
             Err(error) => {
                 counters::RENEWALS_BAD.add(1);
-                log::error!("configuration: not taken over: {error}");
+                tracing::error!("configuration: not taken over: {error}");
                 return;
             }
         };
         counters::RENEWALS.add(1);
-        log::info!("configuration: discovery at {}, the relay at {}", new.discovery, new.relay);
+        tracing::info!("configuration: discovery at {}, the relay at {}", new.discovery, new.relay);
         for ((what, is), (_, wanted)) in self.fixed.iter().zip(&new.fixed) {
             if is != wanted {
-                log::warn!("configuration: {what} stays as it is until the next start");
+                tracing::warn!("configuration: {what} stays as it is until the next start");
             }
         }
         self.discovery.send_replace(new.discovery);
