Registries as sources: a follower for watches and blocking reads, options in XML, a command line

Need: installations that keep their endpoints in a key-value registry.

Change: crates/registry holds a pure follower (read, watch, resume, reread, change member, wait) and the two protocols over it: the etcd v3 API (tonic, prost, messages compiled by protox) and blocking reads of health entries (hyper). crates/options reads the operator's XML and tells every fault with its line. Off without the operator's file.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,6 +38,6 @@
 pub use fleet::{Counts, Fleet, Heard, SourceState};
 pub use pace::Pace;
 pub use word::{
-    Bounds, Entry, Epoch, Handed, Handover, Life, Returns, Revision, SourceId, SourceTerms, Standing, Told,
-    Verdict, What, Word,
+    Bounds, Entry, Epoch, Handed, Handover, Life, Places, Returns, Revision, SourceId, SourceTerms, Standing,
+    Told, Verdict, What, Word,
 };
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -8,6 +8,25 @@
 
 use crate::pace::Pace;
 
+/// The names of zones and kinds, by their numbers.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Places {
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
+        self.zones.iter().position(|zone| zone == name).map(|place| ZoneId(place as u32))
+    }
+
+    /// Kinds that nobody told of are one more.
+    pub fn kind(&self, name: Option<&str>) -> u32 {
+        let place = name.and_then(|name| self.kinds.iter().position(|kind| kind == name));
+        place.unwrap_or(self.kinds.len()) as u32
+    }
+}
+
 /// A source, by its place among those that were added.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceId(pub u16);
--- /dev/null
+++ b/crates/pilot/src/commands.rs
@@ -0,0 +1,220 @@
+//! What the program is asked for on its command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::{Parser, Subcommand};
+use dahliaroad_fleet::{Entry, Fleet, Handover, Places, Standing};
+use dahliaroad_options::Options;
+use serde_json::{Value, json};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+use crate::logging::Form;
+use crate::sources::{Sources, Tallies, bounds};
+use crate::start::Start;
+
+/// An exit for what was asked wrongly or is refused; a failure on the way is the usual 1.
+const REFUSED: u8 = 2;
+/// How long the list has to stand still before it counts as read.
+const LULL: Duration = Duration::from_millis(300);
+const LOOK: Duration = Duration::from_millis(50);
+
+#[derive(Parser)]
+#[command(name = "dahliaroad", version, about = "An assigner that tells forwarders where work goes")]
+pub struct Words {
+    /// The operator's own file; without it the program does what its platform runs
+    #[arg(long, env = "DAHLIAROAD_OPTIONS", global = true, value_name = "FILE")]
+    pub options: Option<PathBuf>,
+    /// What the platform tells a pilot at its start
+    #[arg(long, env = "ROUTER_CONFIG", global = true, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// What log lines look like; the operator's file may set it too
+    #[arg(long, global = true, value_enum)]
+    pub log: Option<Form>,
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Serve as a pilot, as without any word
+    Serve,
+    /// Check a file, the operator's XML or the platform's JSON, and tell every fault found
+    Check { file: PathBuf },
+    /// Connect to the operator's registries as a pilot would, and print the fleet that its decisions would be told of
+    Fleet {
+        /// Go on, and print each change
+        #[arg(long)]
+        follow: bool,
+        /// An object a line
+        #[arg(long)]
+        json: bool,
+        /// Give up where nothing was told by then, in seconds
+        #[arg(long, default_value_t = 10.0)]
+        within: f64,
+    },
+}
+
+fn text_of(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+/// The operator's file, or that there is none. Faults are told a line each.
+pub fn options(path: Option<&Path>) -> Result<Options, Vec<String>> {
+    let Some(path) = path else { return Ok(Options::default()) };
+    let text = text_of(path).map_err(|error| vec![error])?;
+    let told = |fault: dahliaroad_options::Fault| format!("{}: {fault}", path.display());
+    dahliaroad_options::read(&text).map_err(|faults| faults.into_iter().map(told).collect())
+}
+
+/// Every fault of a file, by what it looks like.
+fn faults(path: &Path) -> Vec<String> {
+    let text = match text_of(path) {
+        Ok(text) => text,
+        Err(error) => return vec![error],
+    };
+    if text.trim_start().starts_with('{') {
+        let start = Start::from_text(text.as_bytes());
+        return start.err().map(|error| format!("{}: {error}", path.display())).into_iter().collect();
+    }
+    options(Some(path)).err().unwrap_or_default()
+}
+
+pub fn check(path: &Path) -> ExitCode {
+    let faults = faults(path);
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    if faults.is_empty() {
+        println!("{}: no fault found", path.display());
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::from(REFUSED)
+}
+
+fn object(name: &str, entry: Option<&Entry>, places: &Places) -> Value {
+    let Some(entry) = entry else { return json!({"name": name, "standing": "gone"}) };
+    let kinds = &places.kinds;
+    json!({
+        "name": name,
+        "standing": word(entry.standing),
+        "address": entry.dial.map(|dial| dial.to_string()),
+        "zone": places.zones.get(entry.zone.0 as usize),
+        "kind": kinds.get(entry.kind as usize),
+        "weight": entry.weight,
+        "started_ms": entry.life.started.map(|at| at.as_millis() as u64),
+        "created": entry.life.created.0,
+    })
+}
+
+fn word(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Running => "running",
+        Standing::Aside => "aside",
+        Standing::Draining => "draining",
+    }
+}
+
+fn print(handover: &Handover, places: &Places, json: bool) {
+    for handed in &handover.entries {
+        let entry = handed.entry.as_ref();
+        if json {
+            println!("{}", object(&handed.name, entry, places));
+            continue;
+        }
+        match entry {
+            Some(entry) => {
+                let zone = places.zones.get(entry.zone.0 as usize).map_or("?", String::as_str);
+                let dial = entry.dial.map_or("-".to_owned(), |dial| dial.to_string());
+                println!(
+                    "{:24} {:9} {dial:21} {zone} weight {}",
+                    handed.name,
+                    word(entry.standing),
+                    entry.weight
+                );
+            }
+            None => println!("{:24} gone", handed.name),
+        }
+    }
+}
+
+async fn follow_fleet(
+    options: Options,
+    start: Start,
+    (follow, json, within): (bool, bool, Duration),
+) -> Result<(), String> {
+    let places = Places { zones: start.opening.zones.clone(), kinds: start.opening.kinds.clone() };
+    let mut fleet = Fleet::new(bounds(&options.fleet));
+    let sources = Sources::add(&options, &mut fleet)?;
+    if sources.plans.is_empty() {
+        return Err("the operator's file names no registry".to_owned());
+    }
+    let fleet = Rc::new(std::cell::RefCell::new(fleet));
+    let tallies = Rc::new(Tallies::default());
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let begin = Instant::now();
+    let now = move || clock + begin.elapsed();
+    let count = sources.plans.len();
+    for plan in sources.plans {
+        let (fleet, source) = (fleet.clone(), plan.source);
+        let tell = async move |word| fleet.borrow_mut().hear(now(), source, word).verdict;
+        tokio::task::spawn_local(plan.follow(start.seed, places.clone(), tallies.clone(), tell));
+    }
+    let (mut told, mut still) = (false, Instant::now());
+    loop {
+        sleep(LOOK).await;
+        let known = fleet.borrow().states().iter().filter(|state| state.known.is_some()).count();
+        if known < count && begin.elapsed() < within && !told {
+            still = Instant::now();
+            continue;
+        }
+        if known == 0 && !follow {
+            return Err(format!("no registry told anything within {within:?}"));
+        }
+        if let Some(handover) = fleet.borrow_mut().hand(now()) {
+            print(&handover, &places, json);
+            (told, still) = (true, Instant::now());
+        }
+        if !follow && still.elapsed() >= LULL {
+            break;
+        }
+    }
+    for state in fleet.borrow().states().iter().filter(|state| state.known.is_none()) {
+        eprintln!("dahliaroad: {} told nothing within {within:?}: its endpoints are not shown", state.name);
+    }
+    Ok(())
+}
+
+pub fn fleet(words: &Words, follow: bool, json: bool, within: f64) -> ExitCode {
+    let fail = |lines: Vec<String>| {
+        lines.iter().for_each(|line| eprintln!("dahliaroad: {line}"));
+        ExitCode::from(REFUSED)
+    };
+    if words.options.is_none() {
+        return fail(vec!["no operator's file: give one by --options or DAHLIAROAD_OPTIONS".to_owned()]);
+    }
+    let options = match options(words.options.as_deref()) {
+        Ok(options) => options,
+        Err(faults) => return fail(faults),
+    };
+    let start = match Start::read(words.config.as_deref()) {
+        Ok(start) => start,
+        Err(error) => return fail(vec![format!("configuration: {error}")]),
+    };
+    let within = Duration::try_from_secs_f64(within).unwrap_or(Duration::from_secs(10));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let followed = runtime.map_err(|error| error.to_string()).and_then(|runtime| {
+        let followed =
+            LocalSet::new().block_on(&runtime, follow_fleet(options, start, (follow, json, within)));
+        runtime.shutdown_timeout(Duration::ZERO);
+        followed
+    });
+    match followed {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dahliaroad: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/pilot/src/counters.rs
+++ b/crates/pilot/src/counters.rs
@@ -28,6 +28,13 @@
     RENEWALS: "configurations taken over",
     RENEWALS_BAD: "configurations refused",
     MOVES: "links moved to a new address",
+    REGISTRY_LINKS: "registry links up",
+    REGISTRY_FAILURES: "registry asks failed",
+    REGISTRY_READS: "registry reads of the whole",
+    REGISTRY_WATCHES: "registry watches begun",
+    REGISTRY_COMPACTED: "registry revisions compacted away",
+    REGISTRY_EPOCHS: "registry histories begun anew",
+    REGISTRY_LAGGING: "registry members found behind",
 }
 
 /// All counters in one line.
--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dahliaroad_fleet::{Epoch, SourceId};
+use dahliaroad_fleet::{Epoch, Places, SourceId};
 use dahliaroad_host::Desk;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::counters;
-use crate::lists::{ListMessage, Places};
+use crate::lists::ListMessage;
 use crate::start::Address;
 
 /// The agent is on this machine: what is not there by then is not coming.
--- a/crates/pilot/src/lists.rs
+++ b/crates/pilot/src/lists.rs
@@ -5,8 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahliaroad::interface::ZoneId;
-use dahliaroad_fleet::{Entry, Epoch, Life, Revision, Standing, Told, What, Word};
+use dahliaroad_fleet::{Entry, Epoch, Life, Places, Revision, Standing, Told, What, Word};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -37,12 +36,6 @@
     born_ms: Option<f64>,
 }
 
-/// What the numbers of zones and kinds are.
-pub struct Places {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
 impl ListMessage {
     /// The version that changes may follow on; a part of a list is no base for them.
     pub fn base(&self) -> Option<u64> {
@@ -84,9 +77,6 @@
 
 impl Listing<'_> {
     fn admit(&self, places: &Places, seq: u64) -> Option<Told> {
-        let zone = places.zones.iter().position(|zone| *zone == self.site)?;
-        let kinds = &places.kinds;
-        let kind = kinds.iter().position(|kind| *kind == self.class).unwrap_or(kinds.len());
         let born = self.born_ms.unwrap_or(0.0) / 1000.0;
         if ![self.share, born].iter().all(|figure| (0.0..LARGEST).contains(figure)) {
             return None;
@@ -94,8 +84,8 @@
         let entry = Entry {
             life: Life { started: (born > 0.0).then(|| Duration::from_secs_f64(born)), created: Revision(0) },
             dial: Some(self.dial),
-            zone: ZoneId(zone as u32),
-            kind: kind as u32,
+            zone: places.zone(&self.site)?,
+            kind: places.kind(Some(&self.class)),
             weight: self.share,
             standing: if self.health == "leaving" { Standing::Draining } else { Standing::Running },
         };
--- /dev/null
+++ b/crates/pilot/src/sources.rs
@@ -0,0 +1,180 @@
+//! The operator's registries as sources: what they are set to, and the tasks that follow them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dahliaroad_fleet::{Bounds, Fleet, Pace, Places, SourceId, SourceTerms, Verdict, Word};
+use dahliaroad_options::{FleetOptions, Options, Protocol, Registry, RegistryLimits};
+use dahliaroad_registry::consul::Consul;
+use dahliaroad_registry::etcd::Etcd;
+use dahliaroad_registry::{Follower, Limits, Means, Tally, follow};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+
+use crate::counters;
+
+/// Streams of chance for followers begin here, apart from those of other tasks.
+const FIRST_CHANCE: u64 = 100;
+
+/// One follower's task to be: a watch of a prefix, or the blocking reads of one service.
+pub struct Plan {
+    pub name: String,
+    pub source: SourceId,
+    registry: Registry,
+    service: Option<String>,
+    secret: Option<String>,
+    members: watch::Receiver<Vec<String>>,
+}
+
+/// What the operator's file names, ready to be followed.
+pub struct Sources {
+    pub plans: Vec<Plan>,
+    /// By registry; a new file may move them.
+    members: BTreeMap<String, watch::Sender<Vec<String>>>,
+    options: Options,
+}
+
+pub fn bounds(options: &FleetOptions) -> Bounds {
+    let usual = Bounds::default();
+    Bounds { dead: options.dead.unwrap_or(usual.dead), dead_for: options.dead_for.unwrap_or(usual.dead_for) }
+}
+
+fn pace(options: &FleetOptions) -> Pace {
+    let usual = Pace::default();
+    Pace {
+        changes: options.changes_per_second.unwrap_or(usual.changes),
+        burst: options.burst.unwrap_or(usual.burst),
+        gather: options.gather.unwrap_or(usual.gather),
+        hold: options.hold.unwrap_or(usual.hold),
+        longest_hold: options.longest_hold.unwrap_or(usual.longest_hold),
+        steady: options.steady.unwrap_or(usual.steady),
+    }
+}
+
+fn limits(options: &RegistryLimits) -> Limits {
+    let usual = Limits::default();
+    Limits {
+        connect: options.connect.unwrap_or(usual.connect),
+        answer: options.answer.unwrap_or(usual.answer),
+        nudge: options.nudge.unwrap_or(usual.nudge),
+        first_pause: options.first_pause.unwrap_or(usual.first_pause),
+        longest_pause: options.longest_pause.unwrap_or(usual.longest_pause),
+        page: options.page.unwrap_or(usual.page),
+        rereads: options.rereads.unwrap_or(usual.rereads),
+        rereads_per_minute: options.rereads_per_minute.unwrap_or(usual.rereads_per_minute),
+        wait: options.wait.unwrap_or(usual.wait),
+        floor: options.floor.unwrap_or(usual.floor),
+        oldest: options.oldest.unwrap_or(usual.oldest),
+        most: options.most.unwrap_or(usual.most),
+    }
+}
+
+/// The password or token of a file, without the line's end.
+fn secret(registry: &Registry) -> Result<Option<String>, String> {
+    let Some(path) = &registry.secret_file else { return Ok(None) };
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("{}: {path}: {error}", registry.name))?;
+    Ok(Some(text.trim_end().to_owned()))
+}
+
+impl Sources {
+    /// Adds the sources to the fleet, in the file's order.
+    pub fn add(options: &Options, fleet: &mut Fleet) -> Result<Sources, String> {
+        let (mut plans, mut members) = (Vec::new(), BTreeMap::new());
+        let pace = pace(&options.fleet);
+        for registry in &options.registries {
+            let sender = watch::Sender::new(registry.members.clone());
+            let secret = secret(registry)?;
+            let services: Vec<Option<String>> = match registry.protocol {
+                Protocol::Watch => vec![None],
+                Protocol::BlockingRead => registry.services.iter().cloned().map(Some).collect(),
+            };
+            for service in services {
+                let name = match &service {
+                    Some(service) => format!("{}/{service}", registry.name),
+                    None => registry.name.clone(),
+                };
+                let source = fleet.add(SourceTerms { pace: Some(pace), ..SourceTerms::new(&name) });
+                let (registry, secret, members) = (registry.clone(), secret.clone(), sender.subscribe());
+                plans.push(Plan { name, source, registry, service, secret, members });
+            }
+            members.insert(registry.name.clone(), sender);
+        }
+        Ok(Sources { plans, members, options: options.clone() })
+    }
+
+    /// Takes over where registries are now; what else is new waits for the next start.
+    pub fn renew(&self, new: &Options) {
+        let bare = |options: &Options| {
+            let mut bare = options.clone();
+            bare.registries.iter_mut().for_each(|registry| registry.members.clear());
+            bare
+        };
+        if bare(&self.options) != bare(new) {
+            tracing::warn!("options: all but the members of registries stays as it is until the next start");
+        }
+        for registry in &new.registries {
+            let Some(sender) = self.members.get(&registry.name) else { continue };
+            sender.send_if_modified(|members| {
+                let moved = *members != registry.members;
+                members.clone_from(&registry.members);
+                counters::MOVES.add(usize::from(moved));
+                moved
+            });
+        }
+    }
+}
+
+/// How all followers stand together, in the counters.
+#[derive(Default)]
+pub struct Tallies(std::cell::RefCell<BTreeMap<SourceId, Tally>>);
+
+impl Tallies {
+    fn note(&self, source: SourceId, tally: Tally) {
+        let mut all = self.0.borrow_mut();
+        all.insert(source, tally);
+        let sum = |figure: fn(&Tally) -> usize| all.values().map(figure).sum::<usize>();
+        counters::REGISTRY_LINKS.set(sum(|tally| tally.links));
+        counters::REGISTRY_FAILURES.set(sum(|tally| tally.failures));
+        counters::REGISTRY_READS.set(sum(|tally| tally.reads));
+        counters::REGISTRY_WATCHES.set(sum(|tally| tally.resumed));
+        counters::REGISTRY_COMPACTED.set(sum(|tally| tally.compacted));
+        counters::REGISTRY_EPOCHS.set(sum(|tally| tally.epochs));
+        counters::REGISTRY_LAGGING.set(sum(|tally| tally.lagging));
+    }
+}
+
+impl Plan {
+    /// Follows the registry for as long as it is polled.
+    pub async fn follow(
+        self,
+        seed: u64,
+        places: Places,
+        tallies: Rc<Tallies>,
+        tell: impl AsyncFnMut(Word) -> Verdict,
+    ) {
+        let Plan { name, source, registry, service, secret, members } = self;
+        let limits = limits(&registry.limits);
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        chance.set_stream(FIRST_CHANCE + u64::from(source.0));
+        let count = members.borrow().len();
+        let connect_within: Duration = limits.connect;
+        let note = |tally: &Tally| tallies.note(source, *tally);
+        match service {
+            None => {
+                let user = registry.user.zip(secret);
+                let follower = Follower::new(Means::Watch, limits, count, user.is_some(), chance);
+                let prefix = registry.prefix.into_bytes();
+                let etcd = Etcd { prefix, places, user, connect_within };
+                follow(&name, etcd, follower, members, connect_within, tell, note).await;
+            }
+            Some(service) => {
+                let follower = Follower::new(Means::BlockingRead, limits, count, false, chance);
+                let consul = Consul { service, places, token: secret, stale: registry.stale };
+                follow(&name, consul, follower, members, connect_within, tell, note).await;
+            }
+        }
+    }
+}
--- a/crates/pilot/src/start.rs
+++ b/crates/pilot/src/start.rs
@@ -1,6 +1,7 @@
 //! The configuration: what the platform tells a pilot at its start, and on SIGHUP anew.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use dahliaroad_opening::{Fields, Opening, opening};
@@ -11,8 +12,10 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::commands::{self, Words};
 use crate::counters;
 use crate::lists::ListMessage;
+use crate::sources::Sources;
 
 /// Between tries for a new address: what was at the old one goes soon.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -67,20 +70,20 @@
     pub known: Option<ListMessage>,
     pub opening: Opening,
     pub limits: Limits,
-    seed: u64,
+    pub seed: u64,
     /// As written, by name: what holds for as long as the program runs.
     fixed: Vec<(&'static str, Value)>,
 }
 
 impl Start {
-    /// Where `ROUTER_CONFIG` points to.
-    pub fn read() -> Result<Start, String> {
-        let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG names no file")?;
-        let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
-        Start::from_text(&text).map_err(|error| format!("{path}: {error}"))
+    /// Where `ROUTER_CONFIG` points to, or the words the program was started with.
+    pub fn read(path: Option<&Path>) -> Result<Start, String> {
+        let path = path.ok_or("ROUTER_CONFIG names no file")?;
+        let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Start::from_text(&text).map_err(|error| format!("{}: {error}", path.display()))
     }
 
-    fn from_text(text: &[u8]) -> Result<Start, String> {
+    pub fn from_text(text: &[u8]) -> Result<Start, String> {
         let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|error| format!("seed: {error}"))?;
         let opening = opening(Fields::of("settings", &file.settings)?)?;
@@ -145,12 +148,16 @@
     discovery: watch::Sender<SocketAddr>,
     relay: watch::Sender<SocketAddr>,
     fixed: Vec<(&'static str, Value)>,
+    path: Option<PathBuf>,
+    options: Option<PathBuf>,
+    sources: Sources,
 }
 
 impl Renewal {
-    pub fn of(start: &Start) -> Renewal {
+    pub fn of(start: &Start, words: &Words, sources: Sources) -> Renewal {
         let (discovery, relay) = (watch::Sender::new(start.discovery), watch::Sender::new(start.relay));
-        Renewal { discovery, relay, fixed: start.fixed.clone() }
+        let (path, options) = (words.config.clone(), words.options.clone());
+        Renewal { discovery, relay, fixed: start.fixed.clone(), path, options, sources }
     }
 
     pub fn discovery(&self) -> Address {
@@ -161,9 +168,11 @@
         Address(self.relay.subscribe())
     }
 
-    /// The file is read anew, and whole, before anything is given up: a bad one changes nothing.
+    /// The files are read anew, and whole, before anything is given up: a bad one changes nothing.
     pub fn renew(&self) {
-        let new = match Start::read() {
+        let options = commands::options(self.options.as_deref()).map_err(|faults| faults.join("; "));
+        let new = Start::read(self.path.as_deref()).and_then(|new| Ok((new, options?)));
+        let (new, options) = match new {
             Ok(new) => new,
             Err(error) => {
                 counters::RENEWALS_BAD.add(1);
@@ -171,6 +180,7 @@
                 return;
             }
         };
+        self.sources.renew(&options);
         counters::RENEWALS.add(1);
         tracing::info!("configuration: discovery at {}, the relay at {}", new.discovery, new.relay);
         for ((what, is), (_, wanted)) in self.fixed.iter().zip(&new.fixed) {
--- /dev/null
+++ b/crates/registry/build.rs
@@ -0,0 +1,10 @@
+//! Compiles the messages without a protobuf compiler on the machine.
+
+use std::error::Error;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("cargo:rerun-if-changed=proto/registry.proto");
+    let described = protox::compile(["registry.proto"], ["proto"])?;
+    tonic_prost_build::configure().compile_fds(described)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/registry/src/consul.rs
@@ -0,0 +1,134 @@
+//! Blocking reads of a service's health entries over HTTP/1.1, as Consul's API documentation has them ("Blocking
+//! Queries", "Consistency Modes", "Health: List Service Instances").
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dahliaroad_fleet::Places;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::value::RawValue;
+use tokio::net::TcpStream;
+
+use crate::drive::{Place, Protocol};
+use crate::follower::{Answer, Ask, Failure};
+use crate::values::Instance;
+
+/// Longer answers are refused before they take memory, in bytes.
+const LONGEST: usize = 64 << 20;
+
+pub struct Consul {
+    pub service: String,
+    pub places: Places,
+    pub token: Option<String>,
+    /// Any server may answer, also one that is behind.
+    pub stale: bool,
+}
+
+pub struct Link {
+    sender: SendRequest<Empty<Bytes>>,
+    place: Place,
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// What a path may hold as it is (RFC 3986, section 2.3, unreserved characters); the rest is written in hex.
+fn in_a_path(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let write = |byte: u8| if plain(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") };
+    text.bytes().map(write).collect()
+}
+
+impl Consul {
+    async fn poll(
+        &self,
+        link: &mut Link,
+        index: u64,
+        wait: Duration,
+        fresh: bool,
+    ) -> Result<Answer, Failure> {
+        let broken = |error: hyper::Error| Failure::Broken(error.to_string());
+        let mode = match (fresh, self.stale) {
+            (true, _) => "&consistent",
+            (false, true) => "&stale",
+            (false, false) => "",
+        };
+        let (service, wait) = (in_a_path(&self.service), wait.as_millis());
+        let path = format!("/v1/health/service/{service}?index={index}&wait={wait}ms{mode}");
+        let call = Request::get(path).header(HOST, &link.place);
+        let call = match &self.token {
+            Some(token) => call.header("x-consul-token", token),
+            None => call,
+        };
+        let call = call.body(Empty::new()).map_err(|error| Failure::Refused(error.to_string()))?;
+        link.sender.ready().await.map_err(broken)?;
+        let answer = link.sender.send_request(call).await.map_err(broken)?;
+        let (status, headers) = (answer.status(), answer.headers().clone());
+        let body = Limited::new(answer.into_body(), LONGEST).collect().await;
+        let body = body.map_err(|error| match error.is::<http_body_util::LengthLimitError>() {
+            true => Failure::TooLarge,
+            false => Failure::Broken(error.to_string()),
+        })?;
+        let body = body.to_bytes();
+        match status {
+            StatusCode::OK => {}
+            StatusCode::FORBIDDEN | StatusCode::UNAUTHORIZED => return Err(Failure::Unauthorised),
+            _ => {
+                let text = String::from_utf8_lossy(&body[..body.len().min(100)]).into_owned();
+                let leaderless = text.to_lowercase().contains("no cluster leader");
+                return Err(if leaderless {
+                    Failure::Leaderless
+                } else {
+                    Failure::Refused(format!("{status}: {text}"))
+                });
+            }
+        }
+        let index = number(&headers, "x-consul-index");
+        let index = index.ok_or_else(|| Failure::Broken("an answer without an index".to_owned()))?;
+        let led = headers.get("x-consul-knownleader").is_none_or(|led| led == "true");
+        let age = Duration::from_millis(number(&headers, "x-consul-lastcontact").unwrap_or(0));
+        let listed: Vec<&RawValue> =
+            serde_json::from_slice(&body).map_err(|error| Failure::Broken(error.to_string()))?;
+        let told = |raw: &&RawValue| {
+            let instance = serde_json::from_str::<Instance>(raw.get()).map_err(|error| error.to_string());
+            let told = instance.and_then(|instance| instance.told(&self.places).ok_or("no name".to_owned()));
+            let (told, why) = match told {
+                Ok((told, why)) => (Some(told), why),
+                Err(why) => (None, Some(why)),
+            };
+            if let Some(why) = why {
+                tracing::warn!("registry: service {}: {why}: {:.200}", self.service, raw.get());
+            }
+            told
+        };
+        let entries = listed.iter().filter_map(told).collect();
+        Ok(Answer::Polled { index, led, age, entries })
+    }
+}
+
+impl Protocol for Consul {
+    type Link = Link;
+
+    async fn connect(&self, place: &Place) -> Result<Link, Failure> {
+        let unreachable = |error: &dyn std::fmt::Display| Failure::Unreachable(error.to_string());
+        let stream = TcpStream::connect(place).await.map_err(|error| unreachable(&error))?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| unreachable(&error))?;
+        // Ends when the sender is dropped.
+        tokio::spawn(connection);
+        Ok(Link { sender, place: place.clone() })
+    }
+
+    async fn ask(&self, link: &mut Link, ask: Ask) -> Answer {
+        let answer = match ask {
+            Ask::Poll { index, wait, fresh } => self.poll(link, index, wait, fresh).await,
+            _ => Err(Failure::Refused("not of this protocol".to_owned())),
+        };
+        answer.unwrap_or_else(Answer::Failed)
+    }
+}
--- /dev/null
+++ b/crates/registry/src/drive.rs
@@ -0,0 +1,122 @@
+//! Puts a follower's questions to a registry's members, one at a time, and its words to whoever listens.
+
+use std::time::Duration;
+
+use dahliaroad_fleet::{Verdict, Word};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::follower::{Answer, Ask, Failure, Follower, Step, Tally};
+
+/// Where a member is: a host or an address, and a port.
+pub type Place = String;
+
+/// What speaks a protocol: one link at a time, one ask at a time.
+pub trait Protocol {
+    type Link;
+
+    fn connect(&self, place: &Place) -> impl Future<Output = Result<Self::Link, Failure>>;
+
+    /// Every ask but [`Ask::Connect`]. One that is dropped before its end leaves the link fit for the next.
+    fn ask(&self, link: &mut Self::Link, ask: Ask) -> impl Future<Output = Answer>;
+}
+
+/// Between tries for a link to new members.
+const MOVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Once the registry is elsewhere: its members, and a link to one of them. Until it is up, what there is stays.
+async fn moved<P: Protocol>(
+    protocol: &P,
+    mut places: watch::Receiver<Vec<Place>>,
+    within: Duration,
+) -> (Vec<Place>, P::Link) {
+    if places.changed().await.is_err() {
+        return std::future::pending().await;
+    }
+    loop {
+        let mut members = places.borrow_and_update().clone();
+        for place in 0..members.len() {
+            if let Ok(Ok(link)) = timeout(within, protocol.connect(&members[place])).await {
+                members.rotate_left(place);
+                return (members, link);
+            }
+        }
+        tokio::select! {
+            () = sleep(MOVE_PAUSE) => {}
+            _ = places.changed() => {}
+        }
+    }
+}
+
+/// Follows a registry for as long as it is polled. `read_clock` is the time that words are told at; `tell` hands a
+/// word on and says what became of it; `count` hears how things stand after each ask.
+pub async fn follow<P: Protocol>(
+    name: &str,
+    protocol: P,
+    mut follower: Follower,
+    places: watch::Receiver<Vec<Place>>,
+    connect_within: Duration,
+    mut tell: impl AsyncFnMut(Word) -> Verdict,
+    mut count: impl FnMut(&Tally),
+) {
+    let start = Instant::now();
+    let mut members = places.borrow().clone();
+    let mut moving = Box::pin(moved(&protocol, places.clone(), connect_within));
+    let mut link: Option<P::Link> = None;
+    loop {
+        let (member, ask, within) = match follower.next(start.elapsed()) {
+            Step::Ask(member, ask, within) => (member, ask, within),
+            Step::Rest(until) => {
+                tokio::select! {
+                    () = sleep_until(start + until) => {}
+                    (new, up) = &mut moving => {
+                        (members, link) = (new, Some(up));
+                        follower.moved(members.len());
+                        moving = Box::pin(moved(&protocol, places.clone(), connect_within));
+                    }
+                }
+                continue;
+            }
+        };
+        let what = ask.clone();
+        let asked = async {
+            match (&ask, &mut link) {
+                (Ask::Connect, link) => {
+                    // The old one goes first here: it was given up.
+                    *link = None;
+                    match protocol.connect(&members[member]).await {
+                        Ok(new) => {
+                            *link = Some(new);
+                            Answer::Connected
+                        }
+                        Err(failure) => Answer::Failed(failure),
+                    }
+                }
+                (_, Some(link)) => protocol.ask(link, ask).await,
+                (_, None) => Answer::Failed(Failure::Broken("no link".to_owned())),
+            }
+        };
+        let answer = tokio::select! {
+            answer = timeout(within, asked) => answer.unwrap_or(Answer::Failed(Failure::Silent)),
+            (new, up) = &mut moving => {
+                (members, link) = (new, Some(up));
+                tracing::info!("registry {name}: now at {}", members[0]);
+                follower.moved(members.len());
+                moving = Box::pin(moved(&protocol, places.clone(), connect_within));
+                continue;
+            }
+        };
+        // A watch with nothing to tell is silent in all honesty.
+        if let Answer::Failed(failure) = &answer
+            && (*failure != Failure::Silent || what != Ask::Next)
+        {
+            tracing::warn!("registry {name}: {}: {what:?}: {failure:?}", members[member]);
+        }
+        if let Some(word) = follower.answered(start.elapsed(), answer)
+            && tell(word).await == Verdict::Gap
+        {
+            follower.refused();
+        }
+        count(&follower.tally);
+    }
+}
--- /dev/null
+++ b/crates/registry/src/etcd.rs
@@ -0,0 +1,312 @@
+//! The etcd v3 API over gRPC, as its reference publishes it: KV.Range, Watch.Watch, Auth.Authenticate,
+//! Maintenance.Status.
+
+use std::task::Poll;
+use std::time::Duration;
+
+use dahliaroad_fleet::{Places, Revision, Told, What};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Request, Status, Streaming};
+
+use crate::drive::{Place, Protocol};
+use crate::follower::{Answer, Ask, Failure, Header};
+use crate::proto::auth_client::AuthClient;
+use crate::proto::event::EventType;
+use crate::proto::kv_client::KvClient;
+use crate::proto::maintenance_client::MaintenanceClient;
+use crate::proto::watch_client::WatchClient;
+use crate::proto::watch_request::RequestUnion;
+use crate::proto::{
+    AuthenticateRequest, KeyValue, RangeRequest, ResponseHeader, StatusRequest, WatchCreateRequest,
+    WatchProgressRequest, WatchRequest, WatchResponse,
+};
+use crate::values;
+
+/// Larger messages are refused before they take memory, in bytes.
+const LARGEST_MESSAGE: usize = 16 << 20;
+
+/// What is followed: all keys that begin with a prefix.
+pub struct Etcd {
+    pub prefix: Vec<u8>,
+    pub places: Places,
+    /// A user and a password, where the registry asks for them.
+    pub user: Option<(String, String)>,
+    pub connect_within: Duration,
+}
+
+pub struct Link {
+    channel: Channel,
+    token: Option<MetadataValue<Ascii>>,
+    watch: Option<Watched>,
+}
+
+struct Watched {
+    requests: mpsc::Sender<WatchRequest>,
+    stream: Streaming<WatchResponse>,
+    /// Taken from the stream already, and not yet told.
+    held: Option<Result<WatchResponse, Failure>>,
+}
+
+/// Messages told as one batch, so that a fast registry costs no turn of the decisions for each.
+const AT_ONCE: usize = 256;
+
+impl Watched {
+    async fn message(&mut self) -> Result<WatchResponse, Failure> {
+        if let Some(held) = self.held.take() {
+            return held;
+        }
+        let response = self.stream.message().await.map_err(|status| failure(&status))?;
+        response.ok_or_else(|| Failure::Broken("the watch ended".to_owned()))
+    }
+
+    /// The next message, if it is there already.
+    async fn waiting(&mut self) -> Option<Result<WatchResponse, Failure>> {
+        let mut message = std::pin::pin!(self.message());
+        std::future::poll_fn(|context| match message.as_mut().poll(context) {
+            Poll::Ready(message) => Poll::Ready(Some(message)),
+            Poll::Pending => Poll::Ready(None),
+        })
+        .await
+    }
+}
+
+/// The first key that no longer begins with the prefix, as the API has it: `\0` stands for the end of all keys.
+pub fn range_end(prefix: &[u8]) -> Vec<u8> {
+    let mut end = prefix.to_vec();
+    while let Some(last) = end.pop() {
+        if last < 0xff {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
+
+fn failure(status: &Status) -> Failure {
+    let says = |word: &str| status.message().contains(word);
+    match status.code() {
+        Code::OutOfRange if says("compacted") => Failure::Compacted,
+        Code::OutOfRange | Code::ResourceExhausted if says("too large") || says("larger than max") => {
+            Failure::TooLarge
+        }
+        Code::Unauthenticated | Code::PermissionDenied => Failure::Unauthorised,
+        Code::InvalidArgument if says("auth") || says("user name") => Failure::Unauthorised,
+        Code::Unavailable if says("no leader") => Failure::Leaderless,
+        Code::Unavailable | Code::Unknown | Code::Internal | Code::Cancelled => {
+            Failure::Broken(status.message().to_owned())
+        }
+        code => Failure::Refused(format!("{code:?}: {}", status.message())),
+    }
+}
+
+fn same_cluster(one: &WatchResponse, other: &WatchResponse) -> bool {
+    let cluster = |response: &WatchResponse| response.header.map(|header| header.cluster_id);
+    cluster(one) == cluster(other)
+}
+
+/// Events and nothing else.
+fn is_batch(response: &WatchResponse) -> bool {
+    !response.created && !response.canceled && (!response.events.is_empty() || response.fragment)
+}
+
+fn header(header: Option<ResponseHeader>) -> Result<Header, Failure> {
+    let header = header.ok_or_else(|| Failure::Broken("an answer without a header".to_owned()))?;
+    Ok(Header { cluster: header.cluster_id, revision: revision(header.revision) })
+}
+
+fn revision(number: i64) -> Revision {
+    Revision(number.max(0) as u64)
+}
+
+impl Etcd {
+    fn told(&self, kv: &KeyValue, gone: bool) -> Option<Told> {
+        let Some(name) = values::name(&self.prefix, &kv.key) else {
+            tracing::warn!("registry: no name: {:.100}", String::from_utf8_lossy(&kv.key));
+            return None;
+        };
+        let at = revision(kv.mod_revision);
+        if gone {
+            return Some(Told { name: name.into(), at, what: What::Gone });
+        }
+        let (told, why) = values::put(name, revision(kv.create_revision), at, &kv.value, &self.places);
+        if let Some(why) = why {
+            tracing::warn!("registry: {:.100}: {why}", String::from_utf8_lossy(&kv.key));
+        }
+        Some(told)
+    }
+
+    fn events(&self, response: WatchResponse) -> Answer {
+        let header = match header(response.header) {
+            Ok(header) => header,
+            Err(failure) => return Answer::Failed(failure),
+        };
+        if response.canceled {
+            let says = |word: &str| response.cancel_reason.contains(word);
+            return Answer::Failed(match response.compact_revision {
+                1.. => Failure::Compacted,
+                _ if says("compacted") => Failure::Compacted,
+                _ if says("no leader") => Failure::Leaderless,
+                _ if says("permission") || says("auth") => Failure::Unauthorised,
+                _ => Failure::Refused(response.cancel_reason),
+            });
+        }
+        if response.created {
+            return Answer::Watching { header };
+        }
+        if response.events.is_empty() && !response.fragment {
+            return Answer::Progress { header };
+        }
+        let told = |event: &crate::proto::Event| {
+            let kv = event.kv.as_ref()?;
+            self.told(kv, event.r#type == EventType::Delete as i32)
+        };
+        let entries = response.events.iter().filter_map(told).collect();
+        Answer::Batch { header, entries, partial: response.fragment }
+    }
+
+    async fn next(&self, link: &mut Link) -> Result<Answer, Failure> {
+        let watch = link.watch.as_mut().ok_or_else(|| Failure::Broken("no watch".to_owned()))?;
+        let mut response = watch.message().await?;
+        let mut count = 1;
+        while is_batch(&response)
+            && count < AT_ONCE
+            && let Some(more) = watch.waiting().await
+        {
+            match more {
+                Ok(more) if is_batch(&more) && same_cluster(&more, &response) => {
+                    response.events.extend(more.events);
+                    (response.header, response.fragment) = (more.header, more.fragment);
+                    count += 1;
+                }
+                other => {
+                    watch.held = Some(other);
+                    break;
+                }
+            }
+        }
+        Ok(self.events(response))
+    }
+
+    async fn watch(&self, link: &mut Link, from: Revision) -> Result<Answer, Failure> {
+        // One watch is asked for, and seldom its progress: the channel is never full.
+        let (sender, requests) = mpsc::channel(4);
+        let create = WatchCreateRequest {
+            key: self.prefix.clone(),
+            range_end: range_end(&self.prefix),
+            start_revision: from.0 as i64,
+            progress_notify: true,
+            watch_id: 0,
+            fragment: true,
+        };
+        let create = WatchRequest { request_union: Some(RequestUnion::CreateRequest(create)) };
+        sender.try_send(create).map_err(|error| Failure::Broken(error.to_string()))?;
+        let mut request = link.request(ReceiverStream::new(requests));
+        // A member cut off from the others ends the watch, where it would be silent else.
+        request.metadata_mut().insert("hasleader", MetadataValue::from_static("true"));
+        let mut client = WatchClient::new(link.channel.clone()).max_decoding_message_size(LARGEST_MESSAGE);
+        let stream = client.watch(request).await.map_err(|status| failure(&status))?;
+        link.watch = Some(Watched { requests: sender, stream: stream.into_inner(), held: None });
+        self.next(link).await
+    }
+
+    async fn read(
+        &self,
+        link: &mut Link,
+        after: Option<Vec<u8>>,
+        at: Option<Revision>,
+        limit: u32,
+    ) -> Result<Answer, Failure> {
+        let key = after.map_or_else(|| self.prefix.clone(), |last| [&last[..], b"\0"].concat());
+        let range = RangeRequest {
+            key,
+            range_end: range_end(&self.prefix),
+            limit: i64::from(limit),
+            revision: at.map_or(0, |at| at.0 as i64),
+            serializable: false,
+        };
+        let mut client = KvClient::new(link.channel.clone()).max_decoding_message_size(LARGEST_MESSAGE);
+        let answer = client.range(link.request(range)).await.map_err(|status| failure(&status))?.into_inner();
+        Ok(Answer::Page {
+            header: header(answer.header)?,
+            entries: answer.kvs.iter().filter_map(|kv| self.told(kv, false)).collect(),
+            last: answer.kvs.last().map(|kv| kv.key.clone()),
+            more: answer.more,
+        })
+    }
+
+    async fn authenticate(&self, link: &mut Link) -> Result<Answer, Failure> {
+        let (name, password) = self.user.clone().unwrap_or_default();
+        let mut client = AuthClient::new(link.channel.clone());
+        let answer = client.authenticate(AuthenticateRequest { name, password }).await;
+        let token = answer.map_err(|status| failure(&status))?.into_inner().token;
+        link.token = Some(token.parse().map_err(|_| Failure::Broken("no token".to_owned()))?);
+        Ok(Answer::Authenticated)
+    }
+
+    async fn status(&self, link: &mut Link) -> Result<Answer, Failure> {
+        let mut client = MaintenanceClient::new(link.channel.clone());
+        let answer = client.status(link.request(StatusRequest {})).await;
+        let answer = answer.map_err(|status| failure(&status))?.into_inner();
+        Ok(Answer::Standing { header: header(answer.header)?, led: answer.leader != 0 })
+    }
+}
+
+impl Link {
+    fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        if let Some(token) = &self.token {
+            request.metadata_mut().insert("authorization", token.clone());
+        }
+        request
+    }
+}
+
+impl Protocol for Etcd {
+    type Link = Link;
+
+    async fn connect(&self, place: &Place) -> Result<Link, Failure> {
+        let unreachable = |error: tonic::transport::Error| {
+            let cause = std::error::Error::source(&error).map(|cause| format!(": {cause}"));
+            Failure::Unreachable(format!("{error}{}", cause.unwrap_or_default()))
+        };
+        let endpoint = Endpoint::from_shared(format!("http://{place}")).map_err(unreachable)?;
+        let channel = endpoint.connect_timeout(self.connect_within).connect().await.map_err(unreachable)?;
+        Ok(Link { channel, token: None, watch: None })
+    }
+
+    async fn ask(&self, link: &mut Link, ask: Ask) -> Answer {
+        let answer = match ask {
+            Ask::Authenticate => self.authenticate(link).await,
+            Ask::Status => self.status(link).await,
+            Ask::Read { after, at, limit } => self.read(link, after, at, limit).await,
+            Ask::Watch { from } => self.watch(link, from).await,
+            Ask::Next => self.next(link).await,
+            Ask::Nudge => {
+                let progress = RequestUnion::ProgressRequest(WatchProgressRequest {});
+                let request = WatchRequest { request_union: Some(progress) };
+                match link.watch.as_ref().map(|watch| watch.requests.try_send(request)) {
+                    Some(Ok(())) => self.next(link).await,
+                    _ => Err(Failure::Broken("the watch takes no requests".to_owned())),
+                }
+            }
+            Ask::Connect | Ask::Poll { .. } => Err(Failure::Refused("not of this protocol".to_owned())),
+        };
+        answer.unwrap_or_else(Answer::Failed)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::range_end;
+
+    #[test]
+    fn a_range_ends_before_the_first_key_without_the_prefix() {
+        assert_eq!(range_end(b"/e/"), b"/e0");
+        assert_eq!(range_end(b"a\xff"), b"b");
+        assert_eq!(range_end(b"\xff"), b"\0");
+        assert_eq!(range_end(b""), b"\0");
+    }
+}
--- /dev/null
+++ b/crates/registry/src/pause.rs
@@ -0,0 +1,59 @@
+//! How long to wait before the next try, and how many costly ones there may be.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// Pauses that grow with each failure and differ from one follower to the next, so that hundreds that lost the same
+/// server do not come back at once (decorrelated jitter).
+pub(crate) struct Pauses {
+    first: Duration,
+    longest: Duration,
+    last: Duration,
+    chance: ChaCha8Rng,
+}
+
+impl Pauses {
+    pub fn new(first: Duration, longest: Duration, chance: ChaCha8Rng) -> Pauses {
+        Pauses { first, longest, last: first, chance }
+    }
+
+    /// What was tried worked.
+    pub fn reset(&mut self) {
+        self.last = self.first;
+    }
+
+    pub fn next(&mut self) -> Duration {
+        let (low, high) = (self.first.as_secs_f64() / 2.0, self.last.as_secs_f64() * 3.0);
+        let pause = Duration::from_secs_f64(self.chance.random_range(low..=high.max(low)));
+        self.last = pause.min(self.longest).max(self.first);
+        pause.min(self.longest)
+    }
+}
+
+/// A bucket: so many at once, so many a minute.
+pub(crate) struct Budget {
+    most: f64,
+    per_minute: f64,
+    left: f64,
+    at: Duration,
+}
+
+impl Budget {
+    pub fn new(most: f64, per_minute: f64) -> Budget {
+        Budget { most, per_minute, left: most, at: Duration::ZERO }
+    }
+
+    /// Takes one, or tells when there is one.
+    pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
+        let gone = now.saturating_sub(self.at).as_secs_f64();
+        self.left = (self.left + gone * self.per_minute / 60.0).min(self.most);
+        self.at = now.max(self.at);
+        if self.left >= 1.0 {
+            self.left -= 1.0;
+            return Ok(());
+        }
+        Err(now + Duration::from_secs_f64((1.0 - self.left) * 60.0 / self.per_minute))
+    }
+}
