--- a/crates/fleet/src/dead.rs
+++ b/crates/fleet/src/dead.rs
@@ -21,18 +21,19 @@
     /// by a later start; else, unless the old one was drained, by being registered anew. Numbers of another epoch
     /// cannot be compared, but a restored backup has the very ones it had.
     pub fn bars(&self, source: SourceId, epoch: Epoch, life: Life) -> bool {
-        let starts = self.life.started.zip(life.started);
-        if starts.is_some_and(|(old, new)| new > old) {
+        // No start told: long past.
+        if life.started > self.life.started {
             return false;
         }
-        let earlier = starts.is_some_and(|(old, new)| new < old);
+        let earlier = life.started < self.life.started;
         let anew = match (source == self.source, epoch == self.epoch) {
             (true, true) => life.created > self.life.created,
             (true, false) => life.created != self.life.created && !earlier,
             // Another source that lists what was only dropped here lists it still.
             (false, _) => !self.drained && !earlier,
         };
-        starts.is_some() && self.drained || !anew
+        let same_start = life.started.is_some() && !earlier;
+        same_start && self.drained || !anew
     }
 }
 
--- a/crates/fleet/tests/stories.rs
+++ b/crates/fleet/tests/stories.rs
@@ -123,6 +123,18 @@
     assert_eq!(stage.running(), ["a"]);
 }
 
+#[test]
+fn a_start_where_none_was_told_is_a_later_one_and_none_where_one_was_told_is_no_later_one() {
+    let mut stage = Stage::new(1);
+    let says = |at, started, standing| told("a", at, What::Listed(entry(started, 2, standing)));
+    stage.hear(NOW, whole(1, 10, vec![says(2, 0, Standing::Draining)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![says(11, 500, Standing::Running)]));
+    assert_eq!(stage.running(), ["a"]);
+    stage.hear(NOW, changes(1, 11, 12, vec![says(12, 500, Standing::Draining)]));
+    stage.hear(NOW, changes(1, 12, 13, vec![says(13, 0, Standing::Running)]));
+    assert_eq!(stage.running(), [""; 0]);
+}
+
 #[test]
 fn one_that_was_only_lost_comes_back_once_it_is_registered_anew() {
     let mut stage = Stage::new(1);
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,44 @@
+//! Measurements, kept out of the tests: each is one command, and prints its size beside its figures.
+
+mod process;
+mod registry;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use tokio::task::LocalSet;
+
+#[derive(Parser)]
+#[command(
+    about = "Measures the pilot against stand-ins on loopback; build the program first, in release form"
+)]
+struct Words {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// From a change in the registry to the order at the relay, and back to the truth after a break
+    Registry(registry::Words),
+}
+
+fn main() -> ExitCode {
+    let words = Words::parse();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let measured = runtime.map_err(Into::into).and_then(|runtime| {
+        let measured = match words.what {
+            What::Registry(words) => LocalSet::new().block_on(&runtime, registry::measure(words)),
+        };
+        runtime.shutdown_timeout(Duration::ZERO);
+        measured
+    });
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dahliaroad-measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/pilot/src/commands.rs
+++ b/crates/pilot/src/commands.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use clap::builder::{OsStringValueParser, TypedValueParser};
 use clap::{Parser, Subcommand};
 use dahliaroad_fleet::{Entry, Fleet, Handover, Places, Standing};
 use dahliaroad_options::Options;
@@ -26,10 +27,10 @@
 #[command(name = "dahliaroad", version, about = "An assigner that tells forwarders where work goes")]
 pub struct Words {
     /// The operator's own file; without it the program does what its platform runs
-    #[arg(long, env = "DAHLIAROAD_OPTIONS", global = true, value_name = "FILE")]
+    #[arg(long, env = "DAHLIAROAD_OPTIONS", global = true, value_name = "FILE", value_parser = path())]
     pub options: Option<PathBuf>,
     /// What the platform tells a pilot at its start
-    #[arg(long, env = "ROUTER_CONFIG", global = true, value_name = "FILE")]
+    #[arg(long, env = "ROUTER_CONFIG", global = true, value_name = "FILE", value_parser = path())]
     pub config: Option<PathBuf>,
     /// What log lines look like; the operator's file may set it too
     #[arg(long, global = true, value_enum)]
@@ -38,6 +39,22 @@
     pub command: Option<Command>,
 }
 
+/// An empty name is none, as an empty variable is.
+fn path() -> impl TypedValueParser<Value = PathBuf> {
+    OsStringValueParser::new().map(PathBuf::from)
+}
+
+impl Words {
+    /// As the program was started, without names that are empty.
+    pub fn read() -> Words {
+        let mut words = Words::parse();
+        for path in [&mut words.options, &mut words.config] {
+            path.take_if(|path| path.as_os_str().is_empty());
+        }
+        words
+    }
+}
+
 #[derive(Subcommand)]
 pub enum Command {
     /// Serve as a pilot, as without any word
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -16,7 +16,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use clap::Parser;
 use commands::{Command, Words};
 use dahliaroad::Pilot;
 use dahliaroad_fleet::{Fleet, Places, SourceId, SourceTerms, Verdict, Word};
@@ -147,7 +146,7 @@
 }
 
 fn main() -> ExitCode {
-    let words = Words::parse();
+    let words = Words::read();
     match &words.command {
         None | Some(Command::Serve) => pilot(&words),
         Some(Command::Check { file }) => commands::check(file),
--- /dev/null
+++ b/crates/pilot/tests/registry.rs
@@ -0,0 +1,353 @@
+//! Endpoints learnt from a registry: the pilot as a process of its own between the stand-in registry and the toy
+//! fleet, whose proxies send by the tables that they hold.
+
+mod stage;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::Duration;
+
+use dahliaroad_standins::{Gate, Store, consul, etcd};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use stage::*;
+use tokio::process::Command;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use toyfleet::{Collector, Fleet};
+
+/// As the settings have it: from when a drain could be read, proxies have so long to stop.
+const GRACE: Duration = Duration::from_millis(3000);
+const MEMBERS: usize = 3;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Means {
+    Watch,
+    BlockingRead,
+}
+
+/// The registry, each member behind a gate, and how the operator's file names it.
+struct Registry {
+    means: Means,
+    store: Store,
+    gates: Vec<Gate>,
+    file: PathBuf,
+}
+
+impl Registry {
+    async fn start(means: Means) -> Registry {
+        static FILES: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("options-{}-{}.xml", std::process::id(), FILES.fetch_add(1, Relaxed));
+        let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let mut registry = Registry { means, store: Store::new(MEMBERS), gates: Vec::new(), file };
+        registry.open().await;
+        registry
+    }
+
+    /// All members at new addresses; the old ones stay until their gates are cut.
+    async fn open(&mut self) -> Vec<Gate> {
+        let here: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let mut gates = Vec::new();
+        for member in 0..MEMBERS {
+            let server = match self.means {
+                Means::Watch => etcd::serve(self.store.clone(), member, here, usize::MAX).await.unwrap(),
+                Means::BlockingRead => consul::serve(self.store.clone(), member, here).await.unwrap(),
+            };
+            gates.push(Gate::before(server).await.unwrap());
+        }
+        let old = std::mem::replace(&mut self.gates, gates);
+        std::fs::write(&self.file, self.options()).unwrap();
+        old
+    }
+
+    fn options(&self) -> String {
+        let what = match self.means {
+            Means::Watch => ("watch", " prefix=\"fleet/\"", ""),
+            Means::BlockingRead => ("blocking-read", "", "<service name=\"fleet\"/>"),
+        };
+        let member = |gate: &Gate| format!("<member address=\"{}\"/>", gate.address);
+        let members: String = self.gates.iter().map(member).collect();
+        format!(
+            r#"<dahliaroad xmlns="urn:dahliaroad:options:1">
+              <fleet><pace hold="10ms" longest-hold="20ms"/></fleet>
+              <sources discovery="off"><registry name="main" protocol="{}"{}>{members}{}
+                <limits connect="200ms" answer="300ms" nudge="300ms" first-pause="5ms" longest-pause="200ms"
+                  rereads="100" rereads-per-minute="6000" wait="500ms" floor="5ms"/>
+              </registry></sources></dahliaroad>"#,
+            what.0, what.1, what.2
+        )
+    }
+
+    fn put(&self, fleet: &Fleet, name: &str, state: &str) {
+        let endpoints = fleet.world.endpoints.borrow();
+        let of = &endpoints[name];
+        let value = json!({"address": of.dial, "zone": of.zone, "kind": of.kind, "weight": of.speed,
+            "state": state, "started_ms": of.born_ms});
+        self.store.put(&format!("fleet/{name}"), &value.to_string());
+    }
+
+    fn delete(&self, name: &str) {
+        self.store.delete(&format!("fleet/{name}"));
+    }
+}
+
+/// Watches what proxies send, and counts what they must not.
+#[derive(Default)]
+struct Watcher {
+    /// Since when it could be read that an endpoint is to be sent nothing.
+    ended: RefCell<BTreeMap<String, Instant>>,
+    calls: Cell<usize>,
+    /// To an endpoint that was to be sent nothing for longer than the grace.
+    late: Cell<usize>,
+    /// Of a class with no endpoint to pick, while endpoints run.
+    stranded: Cell<usize>,
+    slowest: Cell<Duration>,
+}
+
+impl Watcher {
+    fn end(&self, name: &str) {
+        self.ended.borrow_mut().entry(name.to_owned()).or_insert(Instant::now());
+    }
+
+    /// All proxies send one call of each class to each endpoint that they may pick.
+    fn tick(&self, fleet: &Fleet) {
+        let ended = self.ended.borrow();
+        for proxy in fleet.world.proxies.borrow().values() {
+            for held in proxy.bound.keys().map(|class| proxy.held.get(class)) {
+                let held = held.filter(|lines| !lines.is_empty());
+                self.stranded.set(self.stranded.get() + usize::from(held.is_none()));
+                for name in held.into_iter().flat_map(|lines| lines.keys()) {
+                    self.calls.set(self.calls.get() + 1);
+                    let since = ended.get(name).map(Instant::elapsed).unwrap_or_default();
+                    self.slowest.set(self.slowest.get().max(since));
+                    self.late.set(self.late.get() + usize::from(since > GRACE));
+                }
+            }
+        }
+    }
+
+    async fn watch(self: Rc<Self>, fleet: Rc<Fleet>) {
+        let mut tick = interval(Duration::from_millis(10));
+        tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        loop {
+            tick.tick().await;
+            self.tick(&fleet);
+        }
+    }
+}
+
+/// A fleet with so many endpoints that are registered, proxies that send, and a pilot that has bound them.
+async fn scene(means: Means, endpoints: u32) -> (Rc<Fleet>, Registry, Pilot, Rc<Watcher>) {
+    let fleet = Rc::new(fleet(endpoints).await);
+    let registry = Registry::start(means).await;
+    (0..endpoints).for_each(|place| registry.put(&fleet, &format!("e{place}"), "running"));
+    let configuration = configuration(&fleet, fleet.world.list(None));
+    let pilot = Pilot::start_with(configuration, Some(&registry.file)).await;
+    until("all bound", || (0..4).all(|node| bound(&fleet, node) && held_by(&fleet, node))).await;
+    let watcher = Rc::new(Watcher::default());
+    spawn_local(watcher.clone().watch(fleet.clone()));
+    let mut collector = Collector::new(fleet.world.clone(), pilot.listen);
+    spawn_local(async move {
+        loop {
+            let _ = collector.second().await;
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+    (fleet, registry, pilot, watcher)
+}
+
+fn held_by(fleet: &Fleet, node: u32) -> bool {
+    fleet.world.proxies.borrow()[&node].held.values().all(|lines| !lines.is_empty())
+}
+
+/// So many connections are cut, at moments drawn by chance, while endpoints come, drain and go.
+fn cut_at_random_moments(means: Means, cuts: usize) {
+    play(async move {
+        let (fleet, registry, pilot, watcher) = scene(means, 10).await;
+        registry.store.keep(2);
+        let mut chance = ChaCha8Rng::seed_from_u64(1600);
+        // The first four stay; the others are replaced again and again, under new names and under their own.
+        let mut alive: Vec<String> = (4..10).map(|place| format!("e{place}")).collect();
+        let mut draining: Vec<String> = Vec::new();
+        let (mut cut, mut next) = (0, 10);
+        while cut < cuts {
+            for gate in &registry.gates {
+                match chance.random_range(0..4) {
+                    0 => gate.cut(),
+                    1 => gate.cut_after(chance.random_range(1..600)),
+                    _ => continue,
+                }
+                cut += 1;
+            }
+            if chance.random_range(0..3) == 0 && alive.len() > 2 {
+                let name = alive.remove(chance.random_range(0..alive.len()));
+                match chance.random_range(0..2) {
+                    0 => {
+                        registry.put(&fleet, &name, "draining");
+                        draining.push(name.clone());
+                    }
+                    _ => registry.delete(&name),
+                }
+                watcher.end(&name);
+            }
+            if chance.random_range(0..3) == 0 && alive.len() < 8 {
+                // Half of the time a name that has drained comes back in a new life.
+                let name = match draining.pop().filter(|_| chance.random_range(0..2) == 0) {
+                    Some(name) => name,
+                    None => format!("e{next}"),
+                };
+                next += 1;
+                fleet.endpoint(&name, zone(next), "large", 20.0).await.unwrap();
+                watcher.ended.borrow_mut().remove(&name);
+                registry.put(&fleet, &name, "running");
+                alive.push(name);
+            }
+            sleep(Duration::from_millis(chance.random_range(5..90))).await;
+        }
+        let gone: Vec<String> = watcher.ended.borrow().keys().cloned().collect();
+        assert!(gone.len() >= 10, "{gone:?}");
+        until("all that ended let go", || gone.iter().all(|name| !held_somewhere(&fleet, name))).await;
+        until("all that run held", || alive.iter().all(|name| held_somewhere(&fleet, name))).await;
+        assert_eq!(
+            (watcher.late.get(), watcher.stranded.get()),
+            (0, 0),
+            "slowest {:?}",
+            watcher.slowest.get()
+        );
+        assert!(watcher.calls.get() > 10_000 && cut >= cuts, "{} calls", watcher.calls.get());
+        assert!(pilot.count("registry asks failed").await >= cuts / 4);
+        assert!(pilot.count("registry reads of the whole").await >= 1);
+    });
+}
+
+#[test]
+fn watches_cut_at_200_random_moments_leave_no_call_late_and_no_class_without_an_endpoint() {
+    cut_at_random_moments(Means::Watch, 200);
+}
+
+#[test]
+fn blocking_reads_cut_at_200_random_moments_leave_no_call_late_and_no_class_without_an_endpoint() {
+    cut_at_random_moments(Means::BlockingRead, 200);
+}
+
+#[test]
+fn a_registry_that_moves_in_the_middle_of_a_watch_is_followed_and_loses_nothing() {
+    for means in [Means::Watch, Means::BlockingRead] {
+        play(async move {
+            let (fleet, mut registry, pilot, watcher) = scene(means, 8).await;
+            for round in 0..3 {
+                let (drained, removed) = (format!("e{round}"), format!("e{}", 7 - round));
+                let old = registry.open().await;
+                registry.put(&fleet, &drained, "draining");
+                pilot.signal("-HUP");
+                watcher.end(&drained);
+                registry.delete(&removed);
+                watcher.end(&removed);
+                until("moved", || registry.gates.iter().any(|gate| gate.bytes() > 0)).await;
+                for gate in &old {
+                    gate.set_refuses(true);
+                    gate.cut();
+                }
+                until("gone", || ![&drained, &removed].iter().any(|name| held_somewhere(&fleet, name))).await;
+            }
+            assert_eq!((watcher.late.get(), watcher.stranded.get()), (0, 0), "{:?}", watcher.slowest.get());
+            assert_eq!(pilot.count("configurations taken over").await, 3);
+        });
+    }
+}
+
+#[test]
+fn a_registry_that_is_silent_or_empty_is_not_the_same() {
+    play(async {
+        let (fleet, registry, pilot, watcher) = scene(Means::Watch, 4).await;
+        for gate in &registry.gates {
+            gate.set_refuses(true);
+            gate.cut();
+        }
+        until("noticed", || pilot.logged("registry main")).await;
+        sleep(Duration::from_millis(700)).await;
+        assert_eq!(watcher.stranded.get(), 0);
+        registry.gates.iter().for_each(|gate| gate.set_refuses(false));
+        // An empty list honestly read is one: what is put in after it is all there is.
+        (0..4).for_each(|place| registry.delete(&format!("e{place}")));
+        sleep(Duration::from_millis(300)).await;
+        for name in ["new0", "new1"] {
+            fleet.endpoint(name, zone(u32::from(name == "new1")), "large", 20.0).await.unwrap();
+            registry.put(&fleet, name, "running");
+        }
+        until("all gone", || (0..4).all(|place| !held_somewhere(&fleet, &format!("e{place}")))).await;
+        until("the new held", || ["new0", "new1"].iter().all(|name| held_somewhere(&fleet, name))).await;
+    });
+}
+
+#[test]
+fn a_bad_operators_file_ends_a_start_and_changes_nothing_while_running() {
+    play(async {
+        let (fleet, registry, pilot, _watcher) = scene(Means::Watch, 4).await;
+        let good = std::fs::read_to_string(&registry.file).unwrap();
+        for (from, to, told) in [
+            ("\"200ms\"", "\"200\"", "line 4"),
+            ("</dahliaroad>", "", "no XML"),
+            ("watch", "wait", "protocol"),
+        ] {
+            std::fs::write(&registry.file, good.replacen(from, to, 1)).unwrap();
+            pilot.signal("-HUP");
+            until(told, || pilot.logged("not taken over") && pilot.logged(told)).await;
+        }
+        assert_eq!(pilot.count("configurations refused").await, 3);
+        let (mut again, _) = program(&configuration(&fleet, json!(null)).to_string());
+        let ended = again.env("DAHLIAROAD_OPTIONS", &registry.file).output();
+        let ended = timeout(AT_MOST, ended).await.expect("an end").unwrap();
+        let error = String::from_utf8(ended.stderr).unwrap();
+        assert!(!ended.status.success() && error.contains("<registry>: protocol: expected"), "{error}");
+        registry.put(&fleet, "e0", "draining");
+        until("drained", || !held_somewhere(&fleet, "e0")).await;
+    });
+}
+
+/// What the program prints with these words, and its exit.
+async fn run(words: &[&str], configuration: &str) -> (Option<i32>, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dahliaroad"));
+    command.env("ROUTER_CONFIG", configuration).args(words).stdin(Stdio::null());
+    let ended = timeout(AT_MOST, command.output()).await.expect("an end").unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (ended.status.code(), text(ended.stdout), text(ended.stderr))
+}
+
+#[test]
+fn the_command_line_checks_files_and_shows_the_fleet_as_the_decisions_would_hear_of_it() {
+    play(async {
+        for means in [Means::Watch, Means::BlockingRead] {
+            let fleet = fleet(3).await;
+            let registry = Registry::start(means).await;
+            (0..3).for_each(|place| registry.put(&fleet, &format!("e{place}"), "running"));
+            registry.put(&fleet, "e1", "draining");
+            let (_, configuration) = program(&configuration(&fleet, json!(null)).to_string());
+            let (configuration, options) = (configuration.to_str().unwrap(), registry.file.to_str().unwrap());
+            for good in [configuration, options] {
+                assert_eq!(run(&["check", good], "").await.0, Some(0));
+            }
+            let (code, out, _) = run(&["fleet", "--json", "--options", options], configuration).await;
+            let listed: Vec<serde_json::Value> =
+                out.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+            assert_eq!(code, Some(0));
+            let standing = |of: &serde_json::Value| (of["name"].to_string(), of["standing"].to_string());
+            let expected = [("e0", "running"), ("e1", "draining"), ("e2", "running")];
+            let expected =
+                expected.map(|(name, standing)| (format!("\"{name}\""), format!("\"{standing}\"")));
+            assert_eq!(listed.iter().map(standing).collect::<Vec<_>>(), expected);
+            let spoilt =
+                std::fs::read_to_string(options).unwrap().replace("200ms", "200").replace("6000", "0");
+            std::fs::write(options, spoilt).unwrap();
+            let (code, _, error) = run(&["check", options], "").await;
+            assert_eq!((code, error.lines().count()), (Some(2), 3), "{error}");
+            assert_eq!(run(&["fleet", "--options", options], configuration).await.0, Some(2));
+        }
+    });
+}
--- a/crates/registry/src/consul.rs
+++ b/crates/registry/src/consul.rs
@@ -6,16 +6,17 @@
 use bytes::Bytes;
 use dahliaroad_fleet::Places;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderMap};
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::value::RawValue;
 use tokio::net::TcpStream;
 
 use crate::drive::{Place, Protocol};
 use crate::follower::{Answer, Ask, Failure};
-use crate::values::Instance;
+use crate::values;
 
 /// Longer answers are refused before they take memory, in bytes.
 const LONGEST: usize = 64 << 20;
@@ -45,6 +46,18 @@
 }
 
 impl Consul {
+    async fn get(&self, link: &mut Link, path: &str) -> Result<Response<Incoming>, Failure> {
+        let broken = |error: hyper::Error| Failure::Broken(error.to_string());
+        let call = Request::get(path).header(HOST, &link.place);
+        let call = match &self.token {
+            Some(token) => call.header("x-consul-token", token),
+            None => call,
+        };
+        let call = call.body(Empty::new()).map_err(|error| Failure::Refused(error.to_string()))?;
+        link.sender.ready().await.map_err(broken)?;
+        link.sender.send_request(call).await.map_err(broken)
+    }
+
     async fn poll(
         &self,
         link: &mut Link,
@@ -52,7 +65,6 @@
         wait: Duration,
         fresh: bool,
     ) -> Result<Answer, Failure> {
-        let broken = |error: hyper::Error| Failure::Broken(error.to_string());
         let mode = match (fresh, self.stale) {
             (true, _) => "&consistent",
             (false, true) => "&stale",
@@ -60,14 +72,7 @@
         };
         let (service, wait) = (in_a_path(&self.service), wait.as_millis());
         let path = format!("/v1/health/service/{service}?index={index}&wait={wait}ms{mode}");
-        let call = Request::get(path).header(HOST, &link.place);
-        let call = match &self.token {
-            Some(token) => call.header("x-consul-token", token),
-            None => call,
-        };
-        let call = call.body(Empty::new()).map_err(|error| Failure::Refused(error.to_string()))?;
-        link.sender.ready().await.map_err(broken)?;
-        let answer = link.sender.send_request(call).await.map_err(broken)?;
+        let answer = self.get(link, &path).await?;
         let (status, headers) = (answer.status(), answer.headers().clone());
         let body = Limited::new(answer.into_body(), LONGEST).collect().await;
         let body = body.map_err(|error| match error.is::<http_body_util::LengthLimitError>() {
@@ -95,12 +100,7 @@
         let listed: Vec<&RawValue> =
             serde_json::from_slice(&body).map_err(|error| Failure::Broken(error.to_string()))?;
         let told = |raw: &&RawValue| {
-            let instance = serde_json::from_str::<Instance>(raw.get()).map_err(|error| error.to_string());
-            let told = instance.and_then(|instance| instance.told(&self.places).ok_or("no name".to_owned()));
-            let (told, why) = match told {
-                Ok((told, why)) => (Some(told), why),
-                Err(why) => (None, Some(why)),
-            };
+            let (told, why) = values::instance(raw.get(), &self.places);
             if let Some(why) = why {
                 tracing::warn!("registry: service {}: {why}: {:.200}", self.service, raw.get());
             }
@@ -117,6 +117,7 @@
     async fn connect(&self, place: &Place) -> Result<Link, Failure> {
         let unreachable = |error: &dyn std::fmt::Display| Failure::Unreachable(error.to_string());
         let stream = TcpStream::connect(place).await.map_err(|error| unreachable(&error))?;
+        let _ = stream.set_nodelay(true);
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| unreachable(&error))?;
         // Ends when the sender is dropped.
@@ -124,6 +125,15 @@
         Ok(Link { sender, place: place.clone() })
     }
 
+    /// "Status: Get Raft Leader" of the API costs nothing.
+    async fn prove(&self, link: &mut Link) -> Result<(), Failure> {
+        let answer = self.get(link, "/v1/status/leader").await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), LONGEST).collect().await;
+        body.map_err(|error| Failure::Broken(error.to_string()))?;
+        if status.is_success() { Ok(()) } else { Err(Failure::Refused(status.to_string())) }
+    }
+
     async fn ask(&self, link: &mut Link, ask: Ask) -> Answer {
         let answer = match ask {
             Ask::Poll { index, wait, fresh } => self.poll(link, index, wait, fresh).await,
--- a/crates/registry/src/drive.rs
+++ b/crates/registry/src/drive.rs
@@ -17,6 +17,9 @@
 
     fn connect(&self, place: &Place) -> impl Future<Output = Result<Self::Link, Failure>>;
 
+    /// A connection that is up may lead nowhere: whether a server answers on it.
+    fn prove(&self, link: &mut Self::Link) -> impl Future<Output = Result<(), Failure>>;
+
     /// Every ask but [`Ask::Connect`]. One that is dropped before its end leaves the link fit for the next.
     fn ask(&self, link: &mut Self::Link, ask: Ask) -> impl Future<Output = Answer>;
 }
@@ -24,21 +27,33 @@
 /// Between tries for a link to new members.
 const MOVE_PAUSE: Duration = Duration::from_millis(100);
 
+struct Moved<Link> {
+    members: Vec<Place>,
+    link: Link,
+    /// Has seen what was moved to, and nothing after it.
+    places: watch::Receiver<Vec<Place>>,
+}
+
 /// Once the registry is elsewhere: its members, and a link to one of them. Until it is up, what there is stays.
 async fn moved<P: Protocol>(
     protocol: &P,
     mut places: watch::Receiver<Vec<Place>>,
     within: Duration,
-) -> (Vec<Place>, P::Link) {
+) -> Moved<P::Link> {
     if places.changed().await.is_err() {
         return std::future::pending().await;
     }
     loop {
         let mut members = places.borrow_and_update().clone();
         for place in 0..members.len() {
-            if let Ok(Ok(link)) = timeout(within, protocol.connect(&members[place])).await {
+            let proved = async {
+                let mut link = protocol.connect(&members[place]).await?;
+                protocol.prove(&mut link).await?;
+                Ok::<_, Failure>(link)
+            };
+            if let Ok(Ok(link)) = timeout(within, proved).await {
                 members.rotate_left(place);
-                return (members, link);
+                return Moved { members, link, places };
             }
         }
         tokio::select! {
@@ -60,8 +75,9 @@
     mut count: impl FnMut(&Tally),
 ) {
     let start = Instant::now();
-    let mut members = places.borrow().clone();
-    let mut moving = Box::pin(moved(&protocol, places.clone(), connect_within));
+    let mut places = places;
+    let mut members = places.borrow_and_update().clone();
+    let mut moving = Box::pin(moved(&protocol, places, connect_within));
     let mut link: Option<P::Link> = None;
     loop {
         let (member, ask, within) = match follower.next(start.elapsed()) {
@@ -69,10 +85,10 @@
             Step::Rest(until) => {
                 tokio::select! {
                     () = sleep_until(start + until) => {}
-                    (new, up) = &mut moving => {
-                        (members, link) = (new, Some(up));
+                    to = &mut moving => {
+                        (members, link) = (to.members, Some(to.link));
                         follower.moved(members.len());
-                        moving = Box::pin(moved(&protocol, places.clone(), connect_within));
+                        moving = Box::pin(moved(&protocol, to.places, connect_within));
                     }
                 }
                 continue;
@@ -98,11 +114,11 @@
         };
         let answer = tokio::select! {
             answer = timeout(within, asked) => answer.unwrap_or(Answer::Failed(Failure::Silent)),
-            (new, up) = &mut moving => {
-                (members, link) = (new, Some(up));
+            to = &mut moving => {
+                (members, link) = (to.members, Some(to.link));
                 tracing::info!("registry {name}: now at {}", members[0]);
                 follower.moved(members.len());
-                moving = Box::pin(moved(&protocol, places.clone(), connect_within));
+                moving = Box::pin(moved(&protocol, to.places, connect_within));
                 continue;
             }
         };
--- a/crates/registry/src/etcd.rs
+++ b/crates/registry/src/etcd.rs
@@ -277,6 +277,14 @@
         Ok(Link { channel, token: None, watch: None })
     }
 
+    async fn prove(&self, link: &mut Link) -> Result<(), Failure> {
+        // A token that was given out is proof enough; the follower asks for one of its own.
+        match self.user {
+            Some(_) => self.authenticate(link).await.map(drop),
+            None => self.status(link).await.map(drop),
+        }
+    }
+
     async fn ask(&self, link: &mut Link, ask: Ask) -> Answer {
         let answer = match ask {
             Ask::Authenticate => self.authenticate(link).await,
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -217,8 +217,10 @@
     compacted_in_a_row: u32,
     cluster: Option<u64>,
     epoch: Epoch,
-    /// All up to here has been told.
+    /// All up to here has been told, and can be gone on from.
     position: Option<Revision>,
+    /// The last revision told in this epoch, whether it can be gone on from or not.
+    told: Option<Revision>,
     /// Names refused in a row.
     unauthorised: u32,
     pub tally: Tally,
@@ -249,6 +251,7 @@
             cluster: None,
             epoch: Epoch(1),
             position: None,
+            told: None,
             unauthorised: 0,
             tally: Tally::default(),
             limits,
@@ -374,7 +377,7 @@
     fn begin_epoch(&mut self, header: Header) {
         self.tally.epochs += 1;
         self.epoch.0 += 1;
-        (self.cluster, self.position) = (Some(header.cluster), None);
+        (self.cluster, self.position, self.told) = (Some(header.cluster), None, None);
         self.stage = Stage::Reading(Sweep::default());
     }
 
@@ -439,11 +442,11 @@
         let Stage::Reading(sweep) = std::mem::replace(&mut self.stage, Stage::Opening) else { return None };
         self.cluster = Some(header.cluster);
         // Vouched for by the leader: the registry itself went back, to a backup most likely.
-        if self.position.is_some_and(|at| first < at) {
+        if self.told.is_some_and(|told| first < told) {
             self.tally.epochs += 1;
             self.epoch.0 += 1;
         }
-        self.position = Some(first);
+        (self.position, self.told) = (Some(first), Some(first));
         self.healthy();
         Some(Word::Whole { epoch: self.epoch, revision: first, entries: sweep.entries })
     }
@@ -468,7 +471,7 @@
         let after = self.position.unwrap_or_default();
         let entries: Vec<Told> = partial.drain(..).filter(|told| told.at > after).collect();
         let revision = entries.iter().map(|told| told.at).max()?;
-        self.position = Some(revision);
+        (self.position, self.told) = (Some(revision), Some(revision));
         self.compacted_in_a_row = 0;
         self.healthy();
         Some(Word::Changes { epoch: self.epoch, after, revision, entries })
@@ -490,7 +493,7 @@
             return None;
         }
         // All up to here has come: a later break resumes from here, which compaction reaches later.
-        self.position = Some(header.revision);
+        (self.position, self.told) = (Some(header.revision), Some(header.revision));
         self.compacted_in_a_row = 0;
         self.healthy();
         Some(Word::Nothing { epoch: self.epoch, revision: header.revision })
@@ -510,7 +513,7 @@
             self.failed(now, Failure::Refused(format!("more than {} entries", self.limits.most)));
             return None;
         }
-        let back = self.position.is_some_and(|at| revision < at);
+        let back = self.told.is_some_and(|told| revision < told);
         let stale = !led || age > self.limits.oldest;
         // Nobody vouches for it, or it is older than what is known: the leader is asked.
         if (back || stale) && !fresh {
@@ -530,6 +533,7 @@
         self.stage = Stage::Polling { fresh: false };
         self.healthy();
         // An index of 0 is none: it cannot be waited beyond, and the next question does not wait either.
+        self.told = Some(revision);
         let known = self.position.replace(revision);
         match known {
             Some(at) if at == revision && index > 0 => Some(Word::Nothing { epoch: self.epoch, revision }),
--- a/crates/registry/src/pause.rs
+++ b/crates/registry/src/pause.rs
@@ -32,6 +32,8 @@
     }
 }
 
+const LEAST: Duration = Duration::from_millis(1);
+
 /// A bucket: so many at once, so many a minute.
 pub(crate) struct Budget {
     most: f64,
@@ -54,6 +56,8 @@
             self.left -= 1.0;
             return Ok(());
         }
-        Err(now + Duration::from_secs_f64((1.0 - self.left) * 60.0 / self.per_minute))
+        let wait = Duration::from_secs_f64((1.0 - self.left) * 60.0 / self.per_minute);
+        // What rounds to no wait at all would be asked for again and again.
+        Err(now + wait.max(LEAST))
     }
 }
--- a/crates/registry/src/values.rs
+++ b/crates/registry/src/values.rs
@@ -33,8 +33,8 @@
 }
 
 fn start(ms: Option<f64>) -> Result<Option<Duration>, String> {
-    let ms = amount("started_ms", ms.unwrap_or(0.0))?;
-    Ok((ms > 0.0).then(|| Duration::from_secs_f64(ms / 1000.0)))
+    let seconds = amount("started_ms", ms.unwrap_or(0.0) / 1000.0)?;
+    Ok((seconds > 0.0).then(|| Duration::from_secs_f64(seconds)))
 }
 
 #[derive(Deserialize)]
@@ -93,10 +93,39 @@
     (Told { name: Arc::from(name), at, what }, why)
 }
 
-/// One of the entries that a health question is answered with.
+/// One of the entries that a health question is answered with; where only its name can be read, it is there all the
+/// same. `None`: not even that.
+pub fn instance(text: &str, places: &Places) -> (Option<Told>, Option<String>) {
+    let spoilt = |why: String| {
+        let named = serde_json::from_str::<Named>(text).ok().map(|named| named.service.id);
+        let named = named.filter(|name| !name.is_empty() && name.len() <= LONGEST_NAME);
+        let told = |name: String| Told { name: name.into(), at: Revision(0), what: What::Unreadable };
+        (named.map(told), Some(why))
+    };
+    match serde_json::from_str::<Instance>(text) {
+        Ok(instance) => match instance.told(places) {
+            Some((told, why)) => (Some(told), why),
+            None => spoilt("no name".to_owned()),
+        },
+        Err(error) => spoilt(error.to_string()),
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Named {
+    service: NamedService,
+}
+
+#[derive(Deserialize)]
+struct NamedService {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub struct Instance {
+struct Instance {
     node: Node,
     service: Service,
     #[serde(default)]
@@ -186,7 +215,7 @@
     }
 
     /// Of an instance under its own name; `None` where it has none that can be used.
-    pub fn told(self, places: &Places) -> Option<(Told, Option<String>)> {
+    fn told(self, places: &Places) -> Option<(Told, Option<String>)> {
         let (name, at) = (self.service.id.clone(), Revision(self.service.modify_index));
         if name.is_empty() || name.len() > LONGEST_NAME {
             return None;
@@ -205,11 +234,12 @@
 
     #[test]
     fn a_spoilt_value_is_there_all_the_same_and_says_what_is_wrong() {
-        let good =
-            r#"{"address":"10.0.0.1:80","zone":"b","kind":"m1","weight":2,"state":"draining","rack":7}"#;
+        let good = r#"{"address":"10.0.0.1:80","zone":"b","kind":"m1","weight":2,"state":"draining","rack":7,
+            "started_ms":1796149029119}"#;
         let read = |text: &str| put("e", Revision(3), Revision(5), text.as_bytes(), &places());
         let (Told { what: What::Listed(entry), .. }, None) = read(good) else { panic!("not read") };
         assert_eq!((entry.zone, entry.kind, entry.standing), (ZoneId(1), 0, Standing::Draining));
+        assert_eq!(entry.life.started, Some(Duration::from_millis(1_796_149_029_119)));
         let spoilt = [
             ("\"b\"", "\"c\"", "no such zone"),
             ("10.0.0.1:80", "here", "address"),
@@ -236,19 +266,22 @@
 
     #[test]
     fn a_failed_check_sets_aside_and_a_drain_word_drains() {
-        let text = r#"[{"Node":{"Node":"n","Address":"10.0.0.2","Datacenter":"a"},
+        let text = r#"{"Node":{"Node":"n","Address":"10.0.0.2","Datacenter":"a"},
             "Service":{"ID":"e1","Service":"ledger","Address":"","Port":81,"Meta":{"drain":"DRAIN"},
             "Weights":{"Passing":3,"Warning":1},"CreateIndex":7,"ModifyIndex":9},
-            "Checks":[{"Status":"passing"},{"Status":"STATUS"}]}]"#;
+            "Checks":[{"Status":"passing"},{"Status":"STATUS"}]}"#;
         let standing = |drain: &str, status: &str| {
             let text = text.replace("DRAIN", drain).replace("STATUS", status);
-            let mut all: Vec<Instance> = serde_json::from_str(&text).unwrap();
-            let What::Listed(entry) = all.remove(0).told(&places()).unwrap().0.what else { panic!() };
+            let (Some(Told { what: What::Listed(entry), .. }), None) = instance(&text, &places()) else {
+                panic!()
+            };
             (entry.standing, entry.weight)
         };
         assert_eq!(standing("", "passing"), (Standing::Running, 3.0));
         assert_eq!(standing("", "warning"), (Standing::Running, 1.0));
         assert_eq!(standing("", "critical"), (Standing::Aside, 3.0));
         assert_eq!(standing("true", "passing"), (Standing::Draining, 3.0));
+        let (told, why) = instance(&text.replace("81", "\"here\""), &places());
+        assert_eq!((told.unwrap().what, why.is_some()), (What::Unreadable, true));
     }
 }
--- /dev/null
+++ b/crates/registry/tests/follower.rs
@@ -0,0 +1,624 @@
+//! The follower against a registry that is only a model: generated histories with every fault there is, and one story
+//! for each hard case. No socket, no clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dahliaroad::interface::ZoneId;
+use dahliaroad_fleet::*;
+use dahliaroad_registry::{Answer, Ask, Failure, Follower, Header, Limits, Means, Step};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const COST: Duration = Duration::from_millis(5);
+
+fn limits() -> Limits {
+    Limits { page: 3, rereads: 1000.0, rereads_per_minute: 60_000.0, ..Limits::default() }
+}
+
+/// A registry's state and history.
+#[derive(Clone, Default)]
+struct Registry {
+    cluster: u64,
+    log: Vec<Told>,
+    /// Revisions, one for each place in the log.
+    compacted: u64,
+}
+
+impl Registry {
+    fn revision(&self) -> u64 {
+        self.log.len() as u64
+    }
+
+    fn put(&mut self, name: &Arc<str>, what: What) {
+        self.log.push(Told { name: name.clone(), at: Revision(self.revision() + 1), what });
+    }
+
+    fn at(&self, revision: u64) -> BTreeMap<Arc<str>, Told> {
+        let mut state = BTreeMap::new();
+        for told in &self.log[..revision as usize] {
+            match told.what {
+                What::Gone => drop(state.remove(&told.name)),
+                _ => drop(state.insert(told.name.clone(), told.clone())),
+            }
+        }
+        state
+    }
+
+    fn now(&self) -> BTreeMap<Arc<str>, Told> {
+        self.at(self.revision())
+    }
+
+    fn start(&mut self, name: &Arc<str>) {
+        if self.now().contains_key(name) {
+            self.put(name, What::Gone);
+        }
+        let life = Life { started: None, created: Revision(self.revision() + 1) };
+        let (zone, standing) = (ZoneId(0), Standing::Running);
+        self.put(name, What::Listed(Entry { life, dial: None, zone, kind: 0, weight: 1.0, standing }));
+    }
+
+    fn drain(&mut self, name: &Arc<str>) {
+        let Some(Told { what: What::Listed(entry), .. }) = self.now().remove(name) else { return };
+        self.put(name, What::Listed(Entry { standing: Standing::Draining, ..entry }));
+    }
+
+    fn delete(&mut self, name: &Arc<str>) {
+        if self.now().contains_key(name) {
+            self.put(name, What::Gone);
+        }
+    }
+}
+
+/// How the next ask goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Cut,
+    Silence,
+    /// What is read is compacted away behind it.
+    CompactBehind,
+    TooLarge,
+    Leaderless,
+}
+
+struct World {
+    registry: Registry,
+    /// Revisions that each member is behind.
+    lags: Vec<u64>,
+    faults: Vec<Fault>,
+    up: bool,
+    watch: Option<u64>,
+    now: Duration,
+    follower: Follower,
+    asks: usize,
+    last: Option<Ask>,
+    /// Believes each word; and one where only new lives return.
+    plain: Fleet,
+    strict: Fleet,
+    over: BTreeSet<(Arc<str>, u32, u64)>,
+    listed: BTreeMap<Arc<str>, (u32, u64)>,
+}
+
+impl World {
+    fn new(means: Means, members: usize, seed: u64, limits: Limits) -> World {
+        let chance = ChaCha8Rng::seed_from_u64(seed);
+        let fleet = |returns| {
+            let mut fleet = Fleet::new(Bounds::default());
+            fleet.add(SourceTerms { returns, ..SourceTerms::new("model") });
+            fleet
+        };
+        World {
+            registry: Registry { cluster: 1, ..Registry::default() },
+            lags: vec![0; members],
+            faults: Vec::new(),
+            up: false,
+            watch: None,
+            now: Duration::from_secs(1),
+            follower: Follower::new(means, limits, members, false, chance),
+            asks: 0,
+            last: None,
+            plain: fleet(Returns::AsTold),
+            strict: fleet(Returns::InNewLife),
+            over: BTreeSet::new(),
+            listed: BTreeMap::new(),
+        }
+    }
+
+    fn header(&self, behind: u64) -> Header {
+        let revision = Revision(self.registry.revision().saturating_sub(behind));
+        Header { cluster: self.registry.cluster, revision }
+    }
+
+    fn answer(&mut self, member: usize, ask: Ask) -> Answer {
+        let lag = self.lags[member];
+        let fault = self.faults.pop();
+        match fault {
+            Some(Fault::Cut) => {
+                (self.up, self.watch) = (false, None);
+                return Answer::Failed(Failure::Broken("cut".into()));
+            }
+            Some(Fault::Silence) => return Answer::Failed(Failure::Silent),
+            Some(Fault::Leaderless) => return Answer::Failed(Failure::Leaderless),
+            Some(Fault::TooLarge) if !matches!(ask, Ask::Connect) => {
+                return Answer::Failed(Failure::TooLarge);
+            }
+            _ => {}
+        }
+        if ask != Ask::Connect && !self.up {
+            return Answer::Failed(Failure::Broken("no link".into()));
+        }
+        let registry = &self.registry;
+        match ask {
+            Ask::Connect => {
+                (self.up, self.watch) = (true, None);
+                Answer::Connected
+            }
+            Ask::Authenticate => Answer::Authenticated,
+            Ask::Status => Answer::Standing { header: self.header(lag), led: true },
+            Ask::Read { after, at, limit } => {
+                let at = at.map_or(registry.revision(), |at| at.0);
+                if at < registry.compacted {
+                    return Answer::Failed(Failure::Compacted);
+                }
+                if at > registry.revision() {
+                    return Answer::Failed(Failure::Refused("a future revision".into()));
+                }
+                let state = registry.at(at);
+                let after = after.map(|after| String::from_utf8(after).unwrap());
+                let behind =
+                    state.values().filter(|told| after.as_ref().is_none_or(|after| *told.name > **after));
+                let mut entries: Vec<Told> = behind.take(limit as usize + 1).cloned().collect();
+                let more = entries.len() > limit as usize;
+                entries.truncate(limit as usize);
+                let last = entries.last().map(|told| told.name.as_bytes().to_vec());
+                let header = self.header(0);
+                if fault == Some(Fault::CompactBehind) {
+                    let name: Arc<str> = "other".into();
+                    self.registry.start(&name);
+                    self.registry.compacted = self.registry.revision();
+                }
+                Answer::Page { header, entries, last, more }
+            }
+            Ask::Watch { from } if from.0 < registry.compacted => Answer::Failed(Failure::Compacted),
+            Ask::Watch { from } => {
+                self.watch = Some(from.0);
+                Answer::Watching { header: self.header(lag) }
+            }
+            Ask::Next | Ask::Nudge => {
+                let Some(from) = self.watch else { return Answer::Failed(Failure::Broken("none".into())) };
+                let until = registry.revision().saturating_sub(lag);
+                if from < registry.compacted && from <= until {
+                    return Answer::Failed(Failure::Compacted);
+                }
+                if from > until {
+                    return match ask {
+                        Ask::Nudge => Answer::Progress { header: self.header(lag) },
+                        _ => Answer::Failed(Failure::Silent),
+                    };
+                }
+                // Told in two messages, of which the first ends within a revision.
+                let entries = registry.log[from as usize - 1..until as usize].to_vec();
+                self.watch = Some(until + 1);
+                Answer::Batch { header: self.header(lag), entries, partial: false }
+            }
+            Ask::Poll { index, fresh, .. } => {
+                let lag = if fresh { 0 } else { lag };
+                let revision = registry.revision().saturating_sub(lag);
+                if index > 0 && revision == index {
+                    self.now += Duration::from_secs(1);
+                }
+                let entries = registry.at(revision).into_values().collect();
+                Answer::Polled { index: revision, led: true, age: Duration::ZERO, entries }
+            }
+        }
+    }
+
+    fn note(&mut self, word: &Word) {
+        let (whole, epoch, entries) = match word {
+            Word::Whole { epoch, entries, .. } => (true, epoch.0, entries),
+            Word::Changes { epoch, entries, .. } => (false, epoch.0, entries),
+            Word::Nothing { .. } => return,
+        };
+        let named: BTreeSet<&Arc<str>> = entries.iter().map(|told| &told.name).collect();
+        let missing = self.listed.keys().filter(|name| whole && !named.contains(name));
+        for name in missing.cloned().collect::<Vec<_>>() {
+            self.end(&name);
+        }
+        for told in entries {
+            match &told.what {
+                What::Listed(entry) => {
+                    let life = (epoch, entry.life.created.0);
+                    if self.listed.get(&told.name).is_some_and(|old| old.1 != life.1) {
+                        self.end(&told.name);
+                    }
+                    if entry.standing == Standing::Draining {
+                        self.over.insert((told.name.clone(), life.0, life.1));
+                    }
+                    self.listed.insert(told.name.clone(), life);
+                }
+                _ => self.end(&told.name),
+            }
+        }
+    }
+
+    fn end(&mut self, name: &Arc<str>) {
+        if let Some((epoch, created)) = self.listed.remove(name) {
+            self.over.insert((name.clone(), epoch, created));
+        }
+    }
+
+    /// Until so many asks have been answered.
+    fn play(&mut self, asks: usize) {
+        let until = self.asks + asks;
+        while self.asks < until {
+            let (member, ask, within) = match self.follower.next(self.now) {
+                Step::Rest(until) => {
+                    assert!(until > self.now, "a rest that is over");
+                    self.now = until;
+                    continue;
+                }
+                Step::Ask(member, ask, within) => (member, ask, within),
+            };
+            self.asks += 1;
+            self.last = Some(ask.clone());
+            let answer = self.answer(member, ask);
+            let silent = matches!(answer, Answer::Failed(Failure::Silent));
+            self.now += if silent { within } else { COST };
+            let Some(word) = self.follower.answered(self.now, answer) else { continue };
+            let plain = self.plain.hear(self.now, SourceId(0), word.clone()).verdict;
+            let strict = self.strict.hear(self.now, SourceId(0), word.clone()).verdict;
+            assert_eq!(plain, strict);
+            assert_ne!(strict, Verdict::Gap, "the follower told what does not follow");
+            if strict == Verdict::Taken {
+                self.note(&word);
+            }
+            self.check();
+        }
+    }
+
+    fn running(fleet: &Fleet) -> BTreeMap<Arc<str>, u64> {
+        let running = fleet.believed().filter(|(_, entry)| entry.standing == Standing::Running);
+        running.map(|(name, entry)| (name, entry.life.created.0)).collect()
+    }
+
+    fn check(&self) {
+        for (name, created) in Self::running(&self.strict) {
+            let epoch = self.listed.get(&name).expect("told of").0;
+            assert!(!self.over.contains(&(name.clone(), epoch, created)), "{name} of {created} came back");
+        }
+    }
+
+    fn truth(&self) -> BTreeMap<Arc<str>, u64> {
+        let running = |told: Told| match told.what {
+            What::Listed(entry) if entry.standing == Standing::Running => {
+                Some((told.name, entry.life.created.0))
+            }
+            _ => None,
+        };
+        self.registry.now().into_values().filter_map(running).collect()
+    }
+
+    /// All faults over, the list has to become the registry's in so many asks.
+    fn settle(&mut self, asks: usize) {
+        self.faults.clear();
+        self.lags.fill(0);
+        self.play(asks);
+        assert_eq!(Self::running(&self.plain), self.truth());
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Start(u8),
+    Drain(u8),
+    Delete(u8),
+    Compact,
+    Restore { back: u8, same: bool },
+    Lag(u8),
+    Fault(Fault),
+    Asks(u8),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let fault = prop_oneof![
+        3 => Just(Fault::Cut),
+        1 => Just(Fault::Silence),
+        2 => Just(Fault::CompactBehind),
+        1 => Just(Fault::TooLarge),
+        1 => Just(Fault::Leaderless),
+    ];
+    prop_oneof![
+        4 => (0..8u8).prop_map(Event::Start),
+        2 => (0..8u8).prop_map(Event::Drain),
+        2 => (0..8u8).prop_map(Event::Delete),
+        2 => Just(Event::Compact),
+        1 => (1..10u8, any::<bool>()).prop_map(|(back, same)| Event::Restore { back, same }),
+        1 => (0..4u8).prop_map(Event::Lag),
+        4 => fault.prop_map(Event::Fault),
+        6 => (1..8u8).prop_map(Event::Asks),
+    ]
+}
+
+fn history(means: Means, seed: u64, events: Vec<Event>) {
+    let mut world = World::new(means, 3, seed, limits());
+    for event in events {
+        let name = |place: u8| Arc::<str>::from(format!("e{place}"));
+        match event {
+            Event::Start(place) => world.registry.start(&name(place)),
+            Event::Drain(place) => world.registry.drain(&name(place)),
+            Event::Delete(place) => world.registry.delete(&name(place)),
+            Event::Compact => world.registry.compacted = world.registry.revision(),
+            Event::Restore { back, same } => {
+                let registry = &mut world.registry;
+                registry.log.truncate(registry.log.len().saturating_sub(back as usize));
+                registry.compacted = registry.compacted.min(registry.revision());
+                // Blocking reads have no cluster's number: a lower index is all there is to see.
+                registry.cluster += u64::from(!same);
+                world.watch = None;
+                // Under its old name it has to be seen before it comes past the old revision again: nothing that the
+                // protocol tells would show it afterwards.
+                if same {
+                    world.settle(60);
+                }
+            }
+            Event::Lag(lag) => world.lags[0] = u64::from(lag),
+            Event::Fault(fault) => world.faults.push(fault),
+            Event::Asks(asks) => world.play(asks as usize),
+        }
+    }
+    world.settle(60);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_watched_list_is_the_registrys_once_quiet(seed: u64, events in prop::collection::vec(event(), 1..100)) {
+        history(Means::Watch, seed, events);
+    }
+
+    #[test]
+    fn a_polled_list_is_the_registrys_once_quiet(seed: u64, events in prop::collection::vec(event(), 1..100)) {
+        let restores = |event: &Event| matches!(event, Event::Restore { .. });
+        // Without a cluster's number, a registry that went back and came past the old index again hides it.
+        history(Means::BlockingRead, seed, events.into_iter().filter(|event| !restores(event)).collect());
+    }
+}
+
+fn name(place: usize) -> Arc<str> {
+    format!("e{place:02}").into()
+}
+
+/// A registry with so many endpoints, and a follower that watches it.
+fn watching(endpoints: usize, members: usize) -> World {
+    let mut world = World::new(Means::Watch, members, 5, limits());
+    (0..endpoints).for_each(|place| world.registry.start(&name(place)));
+    world.settle(30);
+    world
+}
+
+#[test]
+fn after_a_break_the_watch_goes_on_and_the_whole_is_not_read_again() {
+    let mut world = watching(10, 1);
+    let reads = world.follower.tally.reads;
+    for place in 0..5 {
+        world.faults.push(Fault::Cut);
+        world.registry.drain(&name(place));
+        world.play(8);
+    }
+    assert_eq!(world.follower.tally.reads, reads);
+    world.settle(4);
+}
+
+#[test]
+fn what_was_removed_in_a_gap_that_is_compacted_away_is_gone_after_one_read() {
+    let mut world = watching(10, 1);
+    world.faults.push(Fault::Cut);
+    world.play(1);
+    world.registry.delete(&name(3));
+    world.registry.drain(&name(4));
+    world.registry.compacted = world.registry.revision();
+    world.play(10);
+    assert_eq!(World::running(&world.strict).len(), 8);
+    assert_eq!(world.follower.tally.compacted, 1);
+}
+
+#[test]
+fn compaction_behind_every_read_ends_in_the_true_state_all_the_same() {
+    let mut world = World::new(Means::Watch, 1, 5, limits());
+    (0..20).for_each(|place| world.registry.start(&name(place)));
+    world.faults = vec![Fault::CompactBehind; 400];
+    let mut truths = 0;
+    for round in 0..20 {
+        world.registry.drain(&name(round));
+        world.play(20);
+        let (told, mut truth) = (World::running(&world.plain), world.truth());
+        truth.remove("other");
+        truths += usize::from(told.into_iter().filter(|(name, _)| **name != *"other").eq(truth));
+    }
+    assert!(truths >= 15, "{truths} of 20 rounds");
+    assert!(world.follower.tally.loose > 0);
+    world.settle(30);
+}
+
+#[test]
+fn pages_that_are_too_large_are_asked_for_smaller() {
+    let mut world = World::new(Means::Watch, 1, 5, Limits { page: 64, ..limits() });
+    (0..100).for_each(|place| world.registry.start(&name(place)));
+    world.faults = vec![Fault::TooLarge; 5];
+    // The first ask is for the connection.
+    world.faults.push(Fault::Cut);
+    world.settle(80);
+}
+
+#[test]
+fn a_silent_watch_is_nudged_and_only_then_given_up() {
+    let mut world = watching(4, 2);
+    let before = world.follower.tally;
+    world.play(6);
+    assert_eq!(world.follower.tally.failures, before.failures);
+    while world.last != Some(Ask::Nudge) {
+        world.play(1);
+    }
+    // Neither the watch nor the nudge is answered.
+    world.faults = vec![Fault::Silence; 2];
+    world.play(2);
+    assert_eq!(world.follower.tally.failures, before.failures + 1);
+    assert!(!matches!(world.follower.next(world.now), Step::Ask(..)));
+}
+
+#[test]
+fn a_member_that_lies_behind_is_left_for_another_and_never_believed() {
+    let mut world = watching(6, 2);
+    world.lags = vec![4, 4];
+    world.registry.delete(&name(0));
+    world.lags[1] = 0;
+    world.faults.push(Fault::Cut);
+    world.play(30);
+    assert_eq!(World::running(&world.strict).len(), 5);
+    world.settle(10);
+}
+
+#[test]
+fn a_backup_put_back_in_place_is_found_out_and_read_anew() {
+    let mut world = watching(6, 1);
+    let backup = world.registry.clone();
+    world.registry.drain(&name(0));
+    world.registry.delete(&name(1));
+    world.play(2);
+    world.registry = backup;
+    world.watch = Some(world.registry.revision() + 1);
+    world.play(12);
+    assert_eq!(world.follower.tally.epochs, 1);
+    assert_eq!(World::running(&world.plain).len(), 6);
+    // The dead stay dead.
+    assert_eq!(World::running(&world.strict).len(), 4);
+}
+
+#[test]
+fn hundreds_that_lost_the_same_registry_come_back_spread_out() {
+    let count = 300;
+    let (down, step) = (Duration::from_secs(180), Duration::from_millis(100));
+    let mut followers: Vec<(Duration, Follower)> = (0..count)
+        .map(|seed| {
+            let chance = ChaCha8Rng::seed_from_u64(seed);
+            (Duration::ZERO, Follower::new(Means::Watch, limits(), 1, false, chance))
+        })
+        .collect();
+    let (mut tries, mut back) = (BTreeMap::<u128, usize>::new(), Vec::new());
+    for (now, follower) in &mut followers {
+        loop {
+            match follower.next(*now) {
+                Step::Rest(until) => *now = until,
+                Step::Ask(_, Ask::Connect, _) if *now < down => {
+                    *tries.entry(now.as_millis() / step.as_millis()).or_default() += 1;
+                    *now += COST;
+                    follower.answered(*now, Answer::Failed(Failure::Unreachable("down".into())));
+                }
+                Step::Ask(..) => break,
+            }
+        }
+        back.push(*now - down);
+    }
+    let late = tries.range(600..).map(|(_, tries)| *tries);
+    let (most, sum) = (late.clone().max().unwrap(), late.sum::<usize>());
+    // On average each tries every two to three seconds; no tenth of a second has many times its part.
+    assert!(sum as f64 / 1200.0 < 15.0, "{sum}");
+    assert!(most < 40, "{most} at once");
+    back.sort();
+    assert!(back[count as usize - 1] <= Limits::default().longest_pause, "{:?}", back.last());
+    assert!(back[count as usize / 2] > Duration::from_millis(300), "{:?}", back[150]);
+}
+
+#[test]
+fn rereads_are_bounded_however_often_the_registry_compacts() {
+    let strict = Limits { rereads: 3.0, rereads_per_minute: 30.0, ..limits() };
+    let mut world = World::new(Means::Watch, 1, 5, strict);
+    (0..2).for_each(|place| world.registry.start(&name(place)));
+    world.faults = vec![Fault::CompactBehind; 1000];
+    let begin = world.now;
+    world.play(200);
+    let minutes = (world.now - begin).as_secs_f64() / 60.0;
+    assert!(world.follower.tally.reads as f64 <= 3.0 + 30.0 * minutes + 1.0, "{:?}", world.follower.tally);
+}
+
+#[test]
+fn half_a_revision_is_not_told_and_a_break_within_it_loses_none_of_it() {
+    let mut world = watching(4, 1);
+    world.registry.drain(&name(0));
+    world.registry.drain(&name(1));
+    let (at, header) = (world.registry.revision(), world.header(0));
+    let part = |place: usize| vec![world.registry.log[place].clone()];
+    let first = Answer::Batch { header, entries: part(at as usize - 2), partial: true };
+    while !matches!(world.follower.next(world.now), Step::Ask(_, Ask::Next, _)) {}
+    assert_eq!(world.follower.answered(world.now, first), None);
+    world.follower.answered(world.now, Answer::Failed(Failure::Broken("cut".into())));
+    (world.up, world.watch) = (false, None);
+    world.play(10);
+    assert_eq!(World::running(&world.strict).len(), 2);
+}
+
+#[test]
+fn an_index_that_goes_back_is_believed_only_where_the_leader_vouches_for_it() {
+    let mut world = World::new(Means::BlockingRead, 2, 5, limits());
+    (0..6).for_each(|place| world.registry.start(&name(place)));
+    world.play(4);
+    world.registry.delete(&name(0));
+    world.play(4);
+    world.lags = vec![3, 3];
+    world.play(10);
+    assert_eq!(World::running(&world.plain).len(), 5);
+    assert_eq!(world.follower.tally.epochs, 0);
+    // Now it really went back.
+    world.lags = vec![0, 0];
+    world.registry.log.truncate(4);
+    world.play(10);
+    assert_eq!(world.follower.tally.epochs, 1);
+    assert_eq!(World::running(&world.plain).len(), 4);
+}
+
+#[test]
+fn an_expired_login_is_renewed_once_and_a_wrong_one_is_not_asked_for_without_end() {
+    let chance = ChaCha8Rng::seed_from_u64(5);
+    let mut follower = Follower::new(Means::Watch, limits(), 1, true, chance);
+    let mut now = Duration::from_secs(1);
+    let header = Header { cluster: 1, revision: Revision(5) };
+    let mut logins = 0;
+    let mut expired = false;
+    for _ in 0..60 {
+        let answer = match follower.next(now) {
+            Step::Rest(until) => {
+                now = until;
+                continue;
+            }
+            Step::Ask(_, ask, _) => match ask {
+                Ask::Connect => Answer::Connected,
+                Ask::Authenticate => {
+                    logins += 1;
+                    if logins > 2 { Answer::Failed(Failure::Unauthorised) } else { Answer::Authenticated }
+                }
+                Ask::Status => Answer::Standing { header, led: true },
+                Ask::Read { .. } => Answer::Page { header, entries: vec![], last: None, more: false },
+                Ask::Watch { .. } if logins == 1 && !std::mem::replace(&mut expired, true) => {
+                    Answer::Failed(Failure::Unauthorised)
+                }
+                Ask::Watch { .. } => Answer::Watching { header },
+                _ if logins == 2 => Answer::Failed(Failure::Unauthorised),
+                _ => Answer::Failed(Failure::Silent),
+            },
+        };
+        now += COST;
+        follower.answered(now, answer);
+    }
+    // Renewed once at once; then by pauses that grow.
+    assert!((3..30).contains(&logins), "{logins}");
+    assert!(now > Duration::from_secs(10), "{now:?}");
+}
--- a/crates/standins/src/consul.rs
+++ b/crates/standins/src/consul.rs
@@ -29,7 +29,7 @@
 /// An entry as the API words it; what cannot be read is passed on as it is.
 fn entry(service: &str, name: &str, key: &Key) -> Value {
     let Ok(value) = serde_json::from_slice::<Value>(&key.value) else {
-        return json!(String::from_utf8_lossy(&key.value));
+        return json!({"Service": {"ID": name, "Service": service, "Port": String::from_utf8_lossy(&key.value)}});
     };
     let address = value["address"].as_str().unwrap_or_default();
     let (ip, port) = address.rsplit_once(':').unwrap_or((address, "0"));
@@ -63,6 +63,9 @@
 }
 
 async fn health(call: Request<Incoming>, store: &Store, member: usize) -> Response<Full<Bytes>> {
+    if call.uri().path() == "/v1/status/leader" {
+        return answer(StatusCode::OK, &store.view(member), "\"127.0.0.1:8300\"".into());
+    }
     let query = call.uri().query().unwrap_or_default().to_owned();
     let service = call.uri().path().strip_prefix("/v1/health/service/").unwrap_or_default().to_owned();
     let token = call.headers().get("x-consul-token").and_then(|token| token.to_str().ok());
@@ -95,12 +98,14 @@
 pub async fn serve(store: Store, member: usize, at: SocketAddr) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(at).await?;
     let address = listener.local_addr()?;
+    tokio::spawn(store.clone().let_leases_expire());
     tokio::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(Duration::from_millis(10)).await;
                 continue;
             };
+            let _ = stream.set_nodelay(true);
             let store = store.clone();
             tokio::spawn(async move {
                 let service = service_fn(|call| {
--- a/crates/standins/src/etcd.rs
+++ b/crates/standins/src/etcd.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::time::Duration;
 
 use dahliaroad_registry::proto::auth_server::{Auth, AuthServer};
 use dahliaroad_registry::proto::event::EventType;
@@ -14,9 +13,9 @@
 use dahliaroad_registry::proto::*;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::store::{Change, Store, View};
@@ -43,13 +42,8 @@
         .add_service(WatchServer::new(speaker.clone()))
         .add_service(AuthServer::new(speaker.clone()))
         .add_service(MaintenanceServer::new(speaker));
-    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
-    tokio::spawn(async move {
-        loop {
-            sleep(Duration::from_millis(20)).await;
-            store.expire();
-        }
-    });
+    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true))));
+    tokio::spawn(store.let_leases_expire());
     Ok(address)
 }
 
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
+
+/// Between looks at the leases.
+const LOOK: Duration = Duration::from_millis(20);
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Key {
@@ -132,8 +135,16 @@
         });
     }
 
-    /// Deletes what hangs on leases that are over, in one revision; a server's clock calls it.
-    pub fn expire(&self) {
+    /// For as long as it is polled.
+    pub async fn let_leases_expire(self) {
+        loop {
+            sleep(LOOK).await;
+            self.expire();
+        }
+    }
+
+    /// Deletes what hangs on leases that are over, in one revision.
+    fn expire(&self) {
         let now = Instant::now();
         let mut inner = self.lock();
         let over: Vec<u64> = inner.leases.iter().filter(|(_, end)| **end <= now).map(|(id, _)| *id).collect();
