Registries measured; the schema is tested, stories bite, logins that serve for nothing rest

Need: figures beside the platform's discovery, and proof that each story fails without its defence.

The schema is checked against the reader with uppsala. SIGUSR1 tells each source's age.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
-# What a developer does here. `make fleet` in one terminal and `make run` in another try the pilot out.
+# What a developer does here. `make fleet` in one terminal and `make run` in another try the pilot out; `make registry`
+# and `make run-registry` let it learn its endpoints from a registry.
 
 CONFIG ?= examples/pilot.json
+OPTIONS ?= examples/registry.xml
 
-.PHONY: build test lint run fleet ci
+.PHONY: build test lint run run-registry fleet registry measure ci
 
 build:
 	cargo build --release --workspace --locked
@@ -17,6 +19,15 @@
 run:
 	ROUTER_CONFIG=$(CONFIG) cargo run --release --locked --package dahliaroad-pilot
 
+run-registry:
+	ROUTER_CONFIG=$(CONFIG) cargo run --release --locked --package dahliaroad-pilot -- --options $(OPTIONS)
+
+registry:
+	cargo run --release --locked --package dahliaroad-standins --bin standin-registry -- --fill-from 127.0.0.1:9401
+
+measure: build
+	cargo run --release --locked --package dahliaroad-measure -- registry
+
 fleet:
 	cargo run --release --locked --package dahliaroad-toyfleet -- $(CONFIG)
 
--- a/crates/fleet/tests/stories.rs
+++ b/crates/fleet/tests/stories.rs
@@ -168,6 +168,7 @@
     let long_after = NOW + Bounds::default().dead_for * 2;
     stage.hear(long_after, whole(2, 11, vec![runs("a", 0, 2)]));
     assert_eq!(stage.fleet.dead(), 0);
+    stage.hear(long_after, whole(2, 12, vec![runs("a", 0, 2)]));
     assert_eq!(stage.running(), [""; 0]);
 }
 
@@ -181,6 +182,16 @@
     assert_eq!(stage.hand(later), [("a".into(), None), ("a".into(), Some(Standing::Running))]);
 }
 
+#[test]
+fn what_a_whole_told_ahead_of_its_revision_is_not_taken_back_by_the_changes_that_led_to_it() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
+    // Read in pages that no revision holds together: this one is from later on.
+    stage.hear(NOW, whole(1, 100, vec![runs("a", 0, 120)]));
+    stage.hear(NOW, changes(1, 100, 120, vec![told("a", 105, What::Gone), runs("a", 0, 120)]));
+    assert_eq!(stage.running(), ["a"]);
+}
+
 #[test]
 fn what_cannot_be_read_costs_itself_alone() {
     let mut stage = Stage::new(1);
@@ -264,6 +275,7 @@
     assert_eq!(stage.running(), [""; 0]);
     // It went as it was told to: that the other lists it still means nothing.
     stage.fleet.hear(NOW, first, changes(1, 8, 9, vec![told("a", 9, What::Gone)]));
+    assert_eq!(stage.running(), [""; 0]);
     stage.fleet.hear(NOW, second, whole(1, 6, vec![light]));
     assert_eq!(stage.running(), [""; 0]);
 }
--- a/crates/host/src/counters.rs
+++ b/crates/host/src/counters.rs
@@ -40,6 +40,8 @@
     STALE: "stale words of sources left out",
     GAPS: "gaps in what sources told",
     BARRED: "listings of lives that were over",
+    UNREADABLE: "entries of sources that could not be read",
+    FORGOTTEN: "dead lives forgotten",
     HELD: "returns held back as flapping",
 }
 
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/seat.rs
@@ -28,6 +28,8 @@
             (&counters::STALE, counts.stale),
             (&counters::GAPS, counts.gaps),
             (&counters::BARRED, counts.barred),
+            (&counters::UNREADABLE, counts.unreadable),
+            (&counters::FORGOTTEN, counts.forgotten),
         ];
         told.into_iter().for_each(|(counter, count)| counter.set(count));
         (heard.verdict, heard.handover.map_or_else(Orders::default, |handover| self.list(now, handover)))
@@ -40,6 +42,22 @@
         handover.map_or_else(Orders::default, |handover| self.list(now, handover))
     }
 
+    /// A line a source: how far it has told, and how long ago it last said anything.
+    pub fn tell_sources(&self, now: Duration) {
+        for state in self.fleet.states() {
+            let age = state.heard.map(|at| now.saturating_sub(at).as_secs_f64());
+            let (epoch, revision) = state.known.map_or((0, 0), |(epoch, revision)| (epoch.0, revision.0));
+            match age {
+                Some(age) => tracing::info!(
+                    "source {}: {} listed, revision {revision} of epoch {epoch}, heard {age:.1} s ago",
+                    state.name,
+                    state.listed
+                ),
+                None => tracing::info!("source {}: not heard yet", state.name),
+            }
+        }
+    }
+
     fn list(&mut self, now: Duration, handover: Handover) -> Orders {
         counters::LISTS.add(1);
         let entries: Vec<Listed> = handover.entries.iter().filter_map(|handed| self.listed(handed)).collect();
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -235,12 +235,14 @@
 
 /// A break with changes in it: time until the last of them is ordered, and bytes from the registry meanwhile.
 async fn gap(scene: &mut Scene, words: &Words, compacted: bool) -> Res<(Duration, u64)> {
-    let names: Vec<String> = scene.world().endpoints.borrow().keys().cloned().collect();
     scene.gate.set_refuses(true);
     scene.gate.cut();
     sleep(Duration::from_millis(200)).await;
-    let from = if compacted { names.len() / 3 } else { names.len() * 2 / 3 };
-    let gone: Vec<String> = names[from..].iter().take(words.in_a_gap).cloned().collect();
+    let held: std::collections::BTreeSet<String> =
+        scene.world().tables.borrow().values().flat_map(|lines| lines.keys().cloned()).collect();
+    // Not more than a quarter: some are to be left.
+    let most = words.in_a_gap.min(held.len() / 4).max(1);
+    let gone: Vec<String> = held.into_iter().take(most).collect();
     gone.iter().for_each(|name| scene.tell(name, true));
     if compacted {
         scene.store.compact(scene.store.leader().revision);
--- a/crates/options/tests/faults.rs
+++ b/crates/options/tests/faults.rs
@@ -70,6 +70,73 @@
     }
 }
 
+/// What the schema says of a text.
+fn by_schema(text: &str) -> bool {
+    let schema = uppsala::parse(include_str!("../../../deploy/dahliaroad.xsd")).unwrap();
+    let validator = uppsala::XsdValidator::from_schema(&schema).unwrap();
+    uppsala::parse(text).is_ok_and(|document| {
+        let errors = validator.validate(&document);
+        errors.iter().for_each(|error| println!("{error}"));
+        errors.is_empty()
+    })
+}
+
+#[test]
+fn the_schema_takes_what_is_read_and_refuses_what_it_can_say() {
+    let files = [
+        include_str!("../../../deploy/dahliaroad.xml"),
+        include_str!("../../../examples/registry.xml"),
+        GOOD,
+        r#"<dahliaroad xmlns="urn:dahliaroad:options:1"/>"#,
+    ];
+    for text in files {
+        assert!(read(text).is_ok() && by_schema(text), "{text}");
+    }
+    let by_both = [
+        ("form=\"json\"", "form=\"yaml\""),
+        ("24h", "24"),
+        ("5000", "-1"),
+        ("burst", "bursts"),
+        ("name=\"main\"", ""),
+        ("\"watch\"", "\"watches\""),
+        ("127.0.0.1:2379", "http://127.0.0.1:2379"),
+        ("page=\"200\"", "page=\"0\""),
+        ("<limits", "<limit/><limits"),
+        ("discovery=\"off\"", "discovery=\"no\""),
+    ];
+    for (from, to) in by_both {
+        let text = GOOD.replacen(from, to, 1);
+        assert!(read(&text).is_err() && !by_schema(&text), "{from} {to}");
+    }
+    // Each default that the schema states is a value that can be read.
+    let schema = include_str!("../../../deploy/dahliaroad.xsd");
+    for line in schema.lines().filter(|line| line.contains("default=") && line.contains("<xs:attribute")) {
+        let part =
+            |name: &str| line.split(&format!("{name}=\"")).nth(1).and_then(|rest| rest.split('"').next());
+        let (Some(name), Some(value)) = (part("name"), part("default")) else { panic!("{line}") };
+        let accepts = |place: &str| {
+            let text = format!(
+                r#"<dahliaroad xmlns="urn:dahliaroad:options:1"><log{}/><fleet{}><pace{}/></fleet><sources{}>
+                <registry name="n" protocol="blocking-read"{}><member address="h:1"/><service name="s"/>
+                <limits{}/></registry></sources></dahliaroad>"#,
+                set(place == "log", name, value),
+                set(place == "fleet", name, value),
+                set(place == "pace", name, value),
+                set(place == "sources", name, value),
+                set(place == "registry", name, value),
+                set(place == "limits", name, value),
+            );
+            read(&text).is_ok() && by_schema(&text)
+        };
+        let places = ["log", "fleet", "pace", "sources", "registry", "limits"];
+        assert!(places.into_iter().any(accepts), "{line}");
+    }
+}
+
+fn set(here: bool, name: &str, value: &str) -> String {
+    if here { format!(" {name}=\"{value}\"") } else { String::new() }
+}
+
 #[test]
 fn all_faults_are_told_at_once_in_the_order_of_their_lines() {
     let text = GOOD.replace("24h", "ever").replace("1.5s", "soon").replace("\"off\"", "\"no\"");
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -18,6 +18,7 @@
 
 use commands::{Command, Words};
 use dahliaroad::Pilot;
+use dahliaroad::interface::Orders;
 use dahliaroad_fleet::{Fleet, Places, SourceId, SourceTerms, Verdict, Word};
 use dahliaroad_host::{Desk, Seat};
 use dahliaroad_options::Options;
@@ -99,12 +100,19 @@
     tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, desk.clone(), calls_chance));
     tasks.spawn_local(joined.follow(news_chance));
     let terms = collectors::Terms { zones, classes, proxies };
-    tasks.spawn_local(collectors::listen(listener, terms, limits, desk));
+    tasks.spawn_local(collectors::listen(listener, terms, limits, desk.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = ask.recv() => tracing::info!("{}", counters::line()),
+            _ = ask.recv() => {
+                tracing::info!("{}", counters::line());
+                desk.tell(Box::new(|seat, now| {
+                    seat.tell_sources(now);
+                    Orders::default()
+                }))
+                .await;
+            }
             _ = renew.recv() => renewal.renew(),
             task = tasks.join_next() => return Err(ended(task)),
         }
--- a/crates/registry/src/etcd.rs
+++ b/crates/registry/src/etcd.rs
@@ -308,7 +308,23 @@
 
 #[cfg(test)]
 mod tests {
-    use super::range_end;
+    use super::*;
+
+    #[test]
+    fn a_fragment_is_told_as_a_part_and_an_end_by_compaction_as_one() {
+        let etcd = Etcd {
+            prefix: b"e/".to_vec(),
+            places: Places::default(),
+            user: None,
+            connect_within: Duration::from_secs(1),
+        };
+        let header = Some(ResponseHeader { cluster_id: 1, revision: 9, ..ResponseHeader::default() });
+        let response = |fragment| WatchResponse { header, fragment, ..WatchResponse::default() };
+        assert!(matches!(etcd.events(response(true)), Answer::Batch { partial: true, .. }));
+        assert!(matches!(etcd.events(response(false)), Answer::Progress { .. }));
+        let canceled = WatchResponse { canceled: true, compact_revision: 7, ..response(false) };
+        assert!(matches!(etcd.events(canceled), Answer::Failed(Failure::Compacted)));
+    }
 
     #[test]
     fn a_range_ends_before_the_first_key_without_the_prefix() {
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -343,10 +343,7 @@
         match answer {
             Answer::Failed(failure) => self.failed(now, failure),
             Answer::Connected => self.enter(),
-            Answer::Authenticated => {
-                self.unauthorised = 0;
-                self.stage = Stage::Checking;
-            }
+            Answer::Authenticated => self.stage = Stage::Checking,
             Answer::Standing { header, led } => self.checked(now, header, led),
             Answer::Page { header, entries, last, more } => {
                 return self.page(now, header, entries, last, more);
@@ -399,6 +396,8 @@
     }
 
     fn checked(&mut self, now: Duration, header: Header, led: bool) {
+        // Only an answer shows that the login serves; that it was taken does not.
+        self.unauthorised = 0;
         if !led {
             return self.failed(now, Failure::Leaderless);
         }
--- a/crates/registry/src/values.rs
+++ b/crates/registry/src/values.rs
@@ -33,8 +33,9 @@
 }
 
 fn start(ms: Option<f64>) -> Result<Option<Duration>, String> {
-    let seconds = amount("started_ms", ms.unwrap_or(0.0) / 1000.0)?;
-    Ok((seconds > 0.0).then(|| Duration::from_secs_f64(seconds)))
+    let ms = ms.unwrap_or(0.0);
+    amount("started_ms", ms / 1000.0)?;
+    Ok((ms > 0.0).then(|| Duration::from_micros((ms * 1000.0).round() as u64)))
 }
 
 #[derive(Deserialize)]
--- a/crates/registry/tests/follower.rs
+++ b/crates/registry/tests/follower.rs
@@ -177,7 +177,8 @@
                 let header = self.header(0);
                 if fault == Some(Fault::CompactBehind) {
                     let name: Arc<str> = "other".into();
-                    self.registry.start(&name);
+                    // Twice, so that the next revision behind what was read is gone too.
+                    (0..2).for_each(|_| self.registry.start(&name));
                     self.registry.compacted = self.registry.revision();
                 }
                 Answer::Page { header, entries, last, more }
@@ -547,6 +548,7 @@
     let begin = world.now;
     world.play(200);
     let minutes = (world.now - begin).as_secs_f64() / 60.0;
+    assert!(world.follower.tally.compacted > 5, "{:?}", world.follower.tally);
     assert!(world.follower.tally.reads as f64 <= 3.0 + 30.0 * minutes + 1.0, "{:?}", world.follower.tally);
 }
 
@@ -585,6 +587,50 @@
     assert_eq!(World::running(&world.plain).len(), 4);
 }
 
+#[test]
+fn an_index_of_0_is_none_and_is_not_asked_for_without_end() {
+    let chance = ChaCha8Rng::seed_from_u64(5);
+    let mut follower = Follower::new(Means::BlockingRead, limits(), 1, false, chance);
+    let (mut now, mut asks) = (Duration::ZERO, 0);
+    while now < Duration::from_secs(20) {
+        match follower.next(now) {
+            Step::Rest(until) => now = until,
+            Step::Ask(_, Ask::Connect, _) => drop(follower.answered(now, Answer::Connected)),
+            Step::Ask(_, ask, _) => {
+                assert!(matches!(ask, Ask::Poll { index: 0, .. }), "{ask:?}");
+                (now, asks) = (now + Duration::from_millis(1), asks + 1);
+                let polled = Answer::Polled { index: 0, led: true, age: Duration::ZERO, entries: vec![] };
+                assert!(matches!(follower.answered(now, polled), Some(Word::Whole { .. })));
+            }
+        }
+    }
+    // By the floor between polls, 100 ms, and a burst at first.
+    assert!((150..=210).contains(&asks), "{asks}");
+}
+
+#[test]
+fn a_login_that_is_taken_and_serves_for_nothing_is_not_asked_for_without_end() {
+    let chance = ChaCha8Rng::seed_from_u64(5);
+    let mut follower = Follower::new(Means::Watch, limits(), 1, true, chance);
+    let (mut now, mut logins) = (Duration::ZERO, 0);
+    while now < Duration::from_secs(60) {
+        match follower.next(now) {
+            Step::Rest(until) => now = until,
+            Step::Ask(_, ask, _) => {
+                now += COST;
+                logins += usize::from(ask == Ask::Authenticate);
+                let answer = match ask {
+                    Ask::Connect => Answer::Connected,
+                    Ask::Authenticate => Answer::Authenticated,
+                    _ => Answer::Failed(Failure::Unauthorised),
+                };
+                follower.answered(now, answer);
+            }
+        }
+    }
+    assert!((10..60).contains(&logins), "{logins}");
+}
+
 #[test]
 fn an_expired_login_is_renewed_once_and_a_wrong_one_is_not_asked_for_without_end() {
     let chance = ChaCha8Rng::seed_from_u64(5);
