--- a/crates/registry/tests/follower.rs
+++ b/crates/registry/tests/follower.rs
@@ -479,10 +479,13 @@
 #[test]
 fn a_member_that_lies_behind_is_left_for_another_and_never_believed() {
     let mut world = watching(6, 2);
+    // Whichever is asked next lies behind, and says so at once when it is asked how it stands.
     world.lags = vec![4, 4];
     world.registry.delete(&name(0));
-    world.lags[1] = 0;
     world.faults.push(Fault::Cut);
+    world.play(3);
+    assert_eq!((world.last.clone(), world.follower.tally.lagging), (Some(Ask::Status), 1));
+    world.lags = vec![0, 4];
     world.play(30);
     assert_eq!(World::running(&world.strict).len(), 5);
     world.settle(10);
