Endpoints of a replaced registry without start stamps are no longer taken for dead

Cause, seen on reading the change again: when a name kept its place and another life took it in a new epoch, the old life's death was laid under the new epoch, as the source's epoch had moved on already. Registration numbers of two histories were compared then, and a registry replaced by one that numbers from 1 left no endpoint running.

Change: each listing keeps the epoch that it was said in, and its death is laid under that; no caller passes one any more.

Measured: a story of its own (fleet) failed before with no endpoint running, and passes; all tests of fleet, registry and dns pass.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -14,6 +14,8 @@
 /// What one source last said of a name.
 #[derive(Clone, Debug)]
 struct Listing {
+    /// When it was said: its life's numbers are of that history.
+    epoch: Epoch,
     at: Revision,
     entry: Entry,
     /// This life is over, whatever the source says.
@@ -196,7 +198,7 @@
             let lists = |seen: &Seen| seen.by.contains_key(&from);
             let missing = self.seen.iter().filter(|(name, seen)| lists(seen) && !named.contains(name));
             for name in missing.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
-                self.drop_from(now, from, known.map_or(epoch, |(known, _)| known), &name);
+                self.drop_from(now, from, &name);
                 touched.push(name);
             }
         }
@@ -209,7 +211,7 @@
             match what {
                 What::Listed(entry) => self.list(now, from, (epoch, at, same_epoch), &name, entry),
                 What::Gone if self.knows_later(from, same_epoch, at, &name) => self.counts.stale += 1,
-                What::Gone => self.drop_from(now, from, epoch, &name),
+                What::Gone => self.drop_from(now, from, &name),
                 What::Unreadable => self.counts.unreadable += 1,
             }
             touched.push(name);
@@ -249,11 +251,9 @@
         mut entry: Entry,
     ) {
         let told = self.sources[from.0 as usize].terms.returns == Returns::AsTold;
-        let known = self.sources[from.0 as usize].known.map_or(epoch, |(epoch, _)| epoch);
-        let prior = self.seen.get(name).and_then(|seen| seen.by.get(&from)).cloned();
         if told {
             let seen = self.seen.entry(name.clone()).or_default();
-            seen.by.insert(from, Listing { at, entry, barred: false });
+            seen.by.insert(from, Listing { epoch, at, entry, barred: false });
             return;
         }
         if self.knows_later(from, same_epoch, at, name) {
@@ -261,7 +261,7 @@
             return;
         }
         let mut barred = false;
-        match prior {
+        match self.seen.get(name).and_then(|seen| seen.by.get(&from)) {
             Some(prior) if prior.entry.life == entry.life => {
                 if prior.entry.standing == Standing::Draining {
                     entry.standing = Standing::Draining;
@@ -269,13 +269,13 @@
                 barred = prior.barred;
             }
             // The name stayed, and another life has it now.
-            Some(_) => self.drop_from(now, from, known, name),
+            Some(_) => self.drop_from(now, from, name),
             None => {}
         }
         barred |= self.dead.bars(name, from, epoch, entry.life);
         self.counts.barred += usize::from(barred);
         let seen = self.seen.entry(name.clone()).or_default();
-        seen.by.insert(from, Listing { at, entry, barred });
+        seen.by.insert(from, Listing { epoch, at, entry, barred });
     }
 
     /// Words of one epoch may overlap, where a whole was read while it changed.
@@ -285,18 +285,17 @@
     }
 
     /// A source does not list a name any more: that life is over, in other sources' words too if it was drained.
-    fn drop_from(&mut self, now: Duration, from: SourceId, epoch: Epoch, name: &Arc<str>) {
+    fn drop_from(&mut self, now: Duration, from: SourceId, name: &Arc<str>) {
         let Some(seen) = self.seen.get_mut(name) else { return };
         let Some(listing) = seen.by.remove(&from) else { return };
         if listing.barred || self.sources[from.0 as usize].terms.returns == Returns::AsTold {
             return;
         }
         let drained = listing.entry.standing == Standing::Draining;
-        let death = Death { source: from, epoch, life: listing.entry.life, drained };
+        let death = Death { source: from, epoch: listing.epoch, life: listing.entry.life, drained };
         for (other, listing) in &mut seen.by {
-            let at = self.sources[other.0 as usize].known.map_or(Epoch::default(), |(epoch, _)| epoch);
             let strict = self.sources[other.0 as usize].terms.returns == Returns::InNewLife;
-            listing.barred |= strict && death.bars(*other, at, listing.entry.life);
+            listing.barred |= strict && death.bars(*other, listing.epoch, listing.entry.life);
         }
         self.dead.lay(now, name, death);
     }
--- a/crates/fleet/tests/stories.rs
+++ b/crates/fleet/tests/stories.rs
@@ -159,6 +159,16 @@
     assert_eq!(stage.running(), ["a", "b", "c"]);
 }
 
+#[test]
+fn a_registry_replaced_by_another_numbers_anew_and_what_is_registered_there_runs() {
+    let mut stage = Stage::new(1);
+    stage.hear(NOW, whole(1, 100, vec![runs("a", 0, 50), runs("b", 0, 60)]));
+    stage.hand(NOW);
+    // Lower numbers, which cannot be compared with those of the other history.
+    stage.hear(NOW, whole(2, 5, vec![runs("a", 0, 2), runs("b", 0, 3)]));
+    assert_eq!(stage.running(), ["a", "b"]);
+}
+
 #[test]
 fn what_is_still_listed_is_not_forgotten_with_the_dead() {
     let mut stage = Stage::new(1);
