One piece of code for what the registry and zone sources had written twice

On reading the change again; behaviour as it was, but that the zone command's refusal now gives the serial's reason in the words that the log has, and a move of a registry is logged in a pause too.

Change: the follower begins a reread, an epoch and a check of the cluster in one place each, and a watch's silence is one state instead of two flags; the driver takes up a move in one place; Standing has its words in fleet for registry, zones and command line; Zone::follows judges a serial for watch and command; Word::at; one runtime for serve and fleet. Gone: Transfer's flag that its known zone tells already, a second set of its records, Follower::position, which nobody called, and a scan of all records for a service's own.

--- a/crates/dns/src/mapping.rs
+++ b/crates/dns/src/mapping.rs
@@ -104,9 +104,8 @@
     ) -> Vec<Candidate<'a>> {
         let mut candidates = Vec::new();
         let mut ports: BTreeMap<&str, u32> = BTreeMap::new();
-        // The zone's own strings are borrowed from, not the name that was put together.
-        for record in zone.records.iter().filter(|record| record.owner == service) {
-            match &record.data {
+        for data in zone.of(service) {
+            match data {
                 Data::Service { priority, weight, port, target } => {
                     *ports.entry(target).or_default() += 1;
                     let (priority, weight, port) = (*priority, *weight, *port);
@@ -195,12 +194,7 @@
             (None, 1) => dahliaroad::interface::ZoneId(0),
             (None, _) => return Err(("no TXT record tells its zone=".to_owned(), true)),
         };
-        let standing = match word("state") {
-            None | Some("running") => Standing::Running,
-            Some("aside") => Standing::Aside,
-            Some("draining") => Standing::Draining,
-            Some(other) => return Err((format!("state is not running, aside or draining: {other:?}"), true)),
-        };
+        let standing = Standing::of(word("state")).map_err(|what| (what, true))?;
         let started = match word("started_ms") {
             None | Some("0") => None,
             Some(text) => {
--- a/crates/dns/src/transfer.rs
+++ b/crates/dns/src/transfer.rs
@@ -43,7 +43,7 @@
     Beginning,
     /// The first SOA has come.
     Begun,
-    Whole(BTreeSet<Record>),
+    Whole,
     /// Records go out up to the next SOA.
     TakingOut,
     /// Records come in; with the SOA that follows either more changes begin, or all is done.
@@ -62,8 +62,6 @@
     records: BTreeSet<Record>,
     stage: Stage,
     taken: usize,
-    /// An increment was asked for.
-    incremental: bool,
     /// What does not fit in one message does not come.
     one_message: bool,
 }
@@ -72,22 +70,12 @@
     /// Of a whole zone.
     pub fn whole(apex: &'a str) -> Transfer<'a> {
         let (records, stage) = (BTreeSet::new(), Stage::Beginning);
-        Transfer {
-            apex,
-            known: None,
-            new: 0,
-            at: 0,
-            records,
-            stage,
-            taken: 0,
-            incremental: false,
-            one_message: false,
-        }
+        Transfer { apex, known: None, new: 0, at: 0, records, stage, taken: 0, one_message: false }
     }
 
     /// Of what has changed since this one. The answer may be the whole all the same.
     pub fn since(known: &'a Zone) -> Transfer<'a> {
-        Transfer { known: Some(known), incremental: true, ..Transfer::whole(&known.apex) }
+        Transfer { known: Some(known), ..Transfer::whole(&known.apex) }
     }
 
     /// The same over UDP.
@@ -111,14 +99,15 @@
     }
 
     fn item(&mut self, item: &Item, last: bool) -> Result<Option<Transferred>, Spoilt> {
-        match (&mut self.stage, item) {
+        match (&self.stage, item) {
             (Stage::Beginning, Item::Soa(new)) => {
                 self.new = *new;
                 self.stage = Stage::Begun;
-                let known = self.known.filter(|_| self.incremental).map(|zone| zone.serial);
-                match known {
+                match self.known {
                     // An answer of one SOA alone: the server has nothing newer, or no room for it.
-                    Some(old) if !compare(old, *new).is_lt() => return Ok(Some(Transferred::Current(*new))),
+                    Some(old) if !compare(old.serial, *new).is_lt() => {
+                        return Ok(Some(Transferred::Current(*new)));
+                    }
                     Some(_) if last && self.one_message => return Ok(Some(Transferred::Beyond(*new))),
                     _ => {}
                 }
@@ -131,15 +120,12 @@
             // A zone without a record but its SOA is none (RFC 1035 asks for NS records), and would end all endpoints.
             (Stage::Begun, Item::Soa(serial)) if *serial == self.new => return Err(Spoilt::Form),
             (Stage::Begun, Item::Soa(_)) => return Err(Spoilt::Sequence),
-            (Stage::Begun, Item::Record(record)) => {
-                self.stage = Stage::Whole(BTreeSet::from([record.clone()]));
-            }
-            (Stage::Whole(records), Item::Record(record)) => drop(records.insert(record.clone())),
-            (Stage::Whole(records), Item::Soa(serial)) if *serial == self.new => {
-                self.records = std::mem::take(records);
-                return self.finish();
+            (Stage::Begun | Stage::Whole, Item::Record(record)) => {
+                self.records.insert(record.clone());
+                self.stage = Stage::Whole;
             }
-            (Stage::Whole(_), Item::Soa(_)) => return Err(Spoilt::Sequence),
+            (Stage::Whole, Item::Soa(serial)) if *serial == self.new => return self.finish(),
+            (Stage::Whole, Item::Soa(_)) => return Err(Spoilt::Sequence),
             (Stage::TakingOut, Item::Record(record)) => {
                 if !self.records.remove(record) {
                     return Err(Spoilt::Difference);
--- a/crates/dns/src/watch.rs
+++ b/crates/dns/src/watch.rs
@@ -7,7 +7,7 @@
 use dahliaroad_fleet::{Entry, Epoch, Life, Revision, Told, What, Word};
 
 use crate::mapping::{Listing, Schema};
-use crate::serial::{ahead, compare};
+use crate::serial::ahead;
 use crate::zone::{Fault, Zone};
 
 /// What a file looks like from outside: another one, or another text, looks otherwise.
@@ -115,25 +115,13 @@
 
     /// Whether a zone that could be read takes the place of the one that is known.
     fn judge(&mut self, zone: Zone) -> Result<Option<Word>, Vec<Fault>> {
-        let refuse = |what: String| Err(vec![Fault { file: self.file.clone(), line: 0, what }]);
-        if let Some(known) = &self.good {
-            let (old, new) = (known.serial, zone.serial);
-            match compare(old, new) {
-                std::cmp::Ordering::Greater => {
-                    return refuse(format!(
-                        "serial {new} is not newer than {old} (RFC 1982): expected a newer one"
-                    ));
-                }
-                std::cmp::Ordering::Equal if known.records != zone.records => {
-                    return refuse(format!("serial {new} did not move though the records did"));
-                }
-                std::cmp::Ordering::Equal => {
-                    return Ok(Some(Word::Nothing { epoch: EPOCH, revision: self.revision }));
-                }
-                std::cmp::Ordering::Less => self.revision.0 += ahead(old, new),
+        let refused = |what| vec![Fault { file: self.file.clone(), line: 0, what }];
+        match &self.good {
+            Some(known) if !zone.follows(known).map_err(refused)? => {
+                return Ok(Some(Word::Nothing { epoch: EPOCH, revision: self.revision }));
             }
-        } else {
-            self.revision = Revision(u64::from(zone.serial) + 1);
+            Some(known) => self.revision.0 += ahead(known.serial, zone.serial),
+            None => self.revision = Revision(u64::from(zone.serial) + 1),
         }
         self.tally.taken += 1;
         let word = self.word(&zone);
--- a/crates/dns/src/zone.rs
+++ b/crates/dns/src/zone.rs
@@ -1,5 +1,6 @@
 //! A zone's records, read from master files (RFC 1035, section 5) by the `domain` crate's parser.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::IpAddr;
@@ -11,6 +12,8 @@
 use domain::rdata::ZoneRecordData;
 use domain::zonefile::inplace::{Entry, ScannedRecordData, Zonefile};
 
+use crate::serial::compare;
+
 /// Files that are included, in all and within each other.
 const MOST_FILES: usize = 64;
 const DEEPEST: usize = 8;
@@ -244,8 +247,22 @@
         }
     }
 
+    /// Whether this may take the place of an older one, by RFC 1982; `false`: it says the same. The error says why not.
+    pub fn follows(&self, old: &Zone) -> Result<bool, String> {
+        let (before, now) = (old.serial, self.serial);
+        match compare(before, now) {
+            Ordering::Greater => {
+                Err(format!("serial {now} is not newer than {before} (RFC 1982): expected a newer one"))
+            }
+            Ordering::Equal if old.records != self.records => {
+                Err(format!("serial {now} did not move though the records did"))
+            }
+            order => Ok(order.is_lt()),
+        }
+    }
+
     /// What is said of a name.
-    pub fn of<'a>(&'a self, owner: &'a str) -> impl Iterator<Item = &'a Data> {
+    pub fn of<'a, 'b>(&'a self, owner: &'b str) -> impl Iterator<Item = &'a Data> + use<'a, 'b> {
         let from = Record { owner: owner.to_owned(), data: Data::Address(IpAddr::from([0, 0, 0, 0])) };
         self.records.range(from..).take_while(move |record| record.owner == owner).map(|record| &record.data)
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -144,11 +144,7 @@
     }
 
     fn judge(&self, source: &Source, word: &Word) -> Verdict {
-        let (epoch, revision) = match word {
-            Word::Whole { epoch, revision, .. }
-            | Word::Changes { epoch, revision, .. }
-            | Word::Nothing { epoch, revision } => (*epoch, *revision),
-        };
+        let (epoch, revision) = word.at();
         let direct = source.terms.pace.is_none();
         match (word, source.known) {
             (_, Some((known, _))) if epoch < known => Verdict::Stale,
@@ -176,19 +172,11 @@
         if verdict != Verdict::Taken {
             return Heard { verdict, handover: None };
         }
+        source.known = Some(word.at());
         let (epoch, whole, entries) = match word {
-            Word::Nothing { epoch, revision } => {
-                source.known = Some((epoch, revision));
-                return Heard { verdict, handover: None };
-            }
-            Word::Whole { epoch, revision, entries } => {
-                source.known = Some((epoch, revision));
-                (epoch, true, entries)
-            }
-            Word::Changes { epoch, revision, entries, .. } => {
-                source.known = Some((epoch, revision));
-                (epoch, false, entries)
-            }
+            Word::Nothing { .. } => return Heard { verdict, handover: None },
+            Word::Whole { epoch, entries, .. } => (epoch, true, entries),
+            Word::Changes { epoch, entries, .. } => (epoch, false, entries),
         };
         let same_epoch = known.is_some_and(|(known, _)| known == epoch);
         self.counts.epochs += usize::from(known.is_some() && !same_epoch);
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -60,6 +60,25 @@
     Draining,
 }
 
+impl Standing {
+    const WORDS: [(&str, Standing); 3] =
+        [("running", Standing::Running), ("aside", Standing::Aside), ("draining", Standing::Draining)];
+
+    /// As sources write it.
+    pub fn word(self) -> &'static str {
+        Standing::WORDS[self as usize].0
+    }
+
+    /// Of a source's word; running, where there is none. The error names what was expected.
+    pub fn of(word: Option<&str>) -> Result<Standing, String> {
+        let Some(word) = word else { return Ok(Standing::Running) };
+        let known = Standing::WORDS.iter().find(|(known, _)| *known == word);
+        known
+            .map(|(_, standing)| *standing)
+            .ok_or_else(|| format!("state is not running, aside or draining: {word:?}"))
+    }
+}
+
 /// An endpoint as one source has it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -101,6 +120,17 @@
     Nothing { epoch: Epoch, revision: Revision },
 }
 
+impl Word {
+    /// How far in its source's history it leads.
+    pub fn at(&self) -> (Epoch, Revision) {
+        match self {
+            Word::Whole { epoch, revision, .. }
+            | Word::Changes { epoch, revision, .. }
+            | Word::Nothing { epoch, revision } => (*epoch, *revision),
+        }
+    }
+}
+
 /// What became of a word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/pilot/src/commands.rs
+++ b/crates/pilot/src/commands.rs
@@ -1,6 +1,8 @@
 //! What the program is asked for on its command line.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -139,14 +141,14 @@
 fn differences(old: &BTreeMap<String, Listing>, new: &BTreeMap<String, Listing>) -> Vec<String> {
     let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
     let say = |name: &String| match (old.get(name), new.get(name)) {
-        (None, Some(new)) => Some(format!("{name}: comes, {}, weight {}", word(new.standing), new.weight)),
+        (None, Some(new)) => Some(format!("{name}: comes, {}, weight {}", new.standing.word(), new.weight)),
         (Some(_), None) => Some(format!("{name}: goes")),
         (Some(old), Some(new)) if old.started < new.started => Some(format!("{name}: begins a new life")),
         (Some(old), Some(new)) if old.standing == Standing::Draining && new.standing != old.standing => {
             Some(format!("{name}: stays draining, as its start did not change"))
         }
         (Some(old), Some(new)) if old.standing != new.standing => {
-            Some(format!("{name}: {} instead of {}", word(new.standing), word(old.standing)))
+            Some(format!("{name}: {} instead of {}", new.standing.word(), old.standing.word()))
         }
         (Some(old), Some(new)) if old.weight != new.weight => {
             Some(format!("{name}: weight {} instead of {}", new.weight, old.weight))
@@ -164,13 +166,9 @@
 pub fn zone(old: &Path, new: &Path, apex: &str, service: &str) -> ExitCode {
     let read = |path| dahliaroad_dns::load(apex, path).map_err(|faults| faults.iter().for_each(tell));
     let (Ok(before), Ok(after)) = (read(old), read(new)) else { return ExitCode::from(REFUSED) };
-    match dahliaroad_dns::compare(before.serial, after.serial) {
-        std::cmp::Ordering::Less => {}
-        std::cmp::Ordering::Equal if before.records == after.records => {}
-        _ => {
-            eprintln!("serial {} would be refused after {}: it is not newer", after.serial, before.serial);
-            return ExitCode::from(REFUSED);
-        }
+    if let Err(why) = after.follows(&before) {
+        eprintln!("{}: would be refused: {why}", new.display());
+        return ExitCode::from(REFUSED);
     }
     let schema = Schema { service: service.to_owned(), places: places(&[&before, &after]) };
     let listed = |path: &Path, zone: &Zone| {
@@ -206,7 +204,7 @@
     let kinds = &places.kinds;
     json!({
         "name": name,
-        "standing": word(entry.standing),
+        "standing": entry.standing.word(),
         "address": entry.dial.map(|dial| dial.to_string()),
         "zone": places.zones.get(entry.zone.0 as usize),
         "kind": kinds.get(entry.kind as usize),
@@ -216,14 +214,6 @@
     })
 }
 
-fn word(standing: Standing) -> &'static str {
-    match standing {
-        Standing::Running => "running",
-        Standing::Aside => "aside",
-        Standing::Draining => "draining",
-    }
-}
-
 fn print(handover: &Handover, places: &Places, json: bool) {
     for handed in &handover.entries {
         let entry = handed.entry.as_ref();
@@ -238,7 +228,7 @@
                 println!(
                     "{:24} {:9} {dial:21} {zone} weight {}",
                     handed.name,
-                    word(entry.standing),
+                    entry.standing.word(),
                     entry.weight
                 );
             }
@@ -251,14 +241,14 @@
     options: Options,
     start: Start,
     (follow, json, within): (bool, bool, Duration),
-) -> Result<(), String> {
+) -> io::Result<()> {
     let places = Places { zones: start.opening.zones.clone(), kinds: start.opening.kinds.clone() };
     let mut fleet = Fleet::new(bounds(&options.fleet));
-    let sources = Sources::add(&options, &mut fleet)?;
+    let sources = Sources::add(&options, &mut fleet).map_err(io::Error::other)?;
     if sources.plans.is_empty() {
-        return Err("the operator's file names no registry and no zone file".to_owned());
+        return Err(io::Error::other("the operator's file names no registry and no zone file"));
     }
-    let fleet = Rc::new(std::cell::RefCell::new(fleet));
+    let fleet = Rc::new(RefCell::new(fleet));
     let tallies = Rc::new(Tallies::default());
     let clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let begin = Instant::now();
@@ -278,7 +268,7 @@
             continue;
         }
         if known == 0 && !follow {
-            return Err(format!("no source told anything within {within:?}"));
+            return Err(io::Error::other(format!("no source told anything within {within:?}")));
         }
         if let Some(handover) = fleet.borrow_mut().hand(now()) {
             print(&handover, &places, json);
@@ -311,14 +301,19 @@
         Err(error) => return fail(vec![format!("configuration: {error}")]),
     };
     let within = Duration::try_from_secs_f64(within).unwrap_or(Duration::from_secs(10));
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let followed = runtime.map_err(|error| error.to_string()).and_then(|runtime| {
-        let followed =
-            LocalSet::new().block_on(&runtime, follow_fleet(options, start, (follow, json, within)));
-        runtime.shutdown_timeout(Duration::ZERO);
-        followed
-    });
-    match followed {
+    exit_of(on_one_thread(follow_fleet(options, start, (follow, json, within))))
+}
+
+/// Runs the program's work to its end. What peers still owe then is not waited for.
+pub fn on_one_thread(work: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let ended = LocalSet::new().block_on(&runtime, work);
+    runtime.shutdown_timeout(Duration::ZERO);
+    ended
+}
+
+pub fn exit_of(ended: io::Result<()>) -> ExitCode {
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dahliaroad: {error}");
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -14,7 +14,6 @@
 use std::io;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 
 use commands::{Command, Words};
 use dahliaroad::Pilot;
@@ -31,7 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{JoinError, JoinSet, LocalSet};
+use tokio::task::{JoinError, JoinSet};
 
 /// Probes that may wait to be sent.
 const PROBES_WAITING: usize = 1024;
@@ -44,7 +43,7 @@
     }
 }
 
-/// What registries say goes to the fleet at the module's side, which answers what became of it.
+/// What a source says goes to the fleet at the module's side, which answers what became of it.
 async fn tell(desk: Desk, source: SourceId, word: Word) -> Verdict {
     let (answer, answered) = oneshot::channel();
     desk.tell(Box::new(move |seat, now| {
@@ -136,21 +135,9 @@
             return ExitCode::FAILURE;
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.and_then(|runtime| {
-        let ended = LocalSet::new().block_on(&runtime, serve(start, words, &options));
-        // Peers are not waited for.
-        runtime.shutdown_timeout(Duration::ZERO);
-        ended
-    });
+    let ended = commands::on_one_thread(serve(start, words, &options));
     tracing::info!("{}", counters::line());
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("dahliaroad: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    commands::exit_of(ended)
 }
 
 fn main() -> ExitCode {
--- a/crates/registry/src/drive.rs
+++ b/crates/registry/src/drive.rs
@@ -63,70 +63,58 @@
     }
 }
 
-/// Follows a registry for as long as it is polled. `read_clock` is the time that words are told at; `tell` hands a
-/// word on and says what became of it; `count` hears how things stand after each ask.
+/// How one turn of following ended.
+enum Turn<Link> {
+    Rested,
+    Answered(Answer),
+    Moved(Moved<Link>),
+}
+
+/// Follows a registry for as long as it is polled. `tell` hands a word on and says what became of it; `count` hears how
+/// things stand after each ask.
 pub async fn follow<P: Protocol>(
     name: &str,
     protocol: P,
     mut follower: Follower,
-    places: watch::Receiver<Vec<Place>>,
+    mut places: watch::Receiver<Vec<Place>>,
     connect_within: Duration,
     mut tell: impl AsyncFnMut(Word) -> Verdict,
     mut count: impl FnMut(&Tally),
 ) {
     let start = Instant::now();
-    let mut places = places;
     let mut members = places.borrow_and_update().clone();
     let mut moving = Box::pin(moved(&protocol, places, connect_within));
     let mut link: Option<P::Link> = None;
     loop {
-        let (member, ask, within) = match follower.next(start.elapsed()) {
-            Step::Ask(member, ask, within) => (member, ask, within),
-            Step::Rest(until) => {
-                tokio::select! {
-                    () = sleep_until(start + until) => {}
-                    to = &mut moving => {
-                        (members, link) = (to.members, Some(to.link));
-                        follower.moved(members.len());
-                        moving = Box::pin(moved(&protocol, to.places, connect_within));
-                    }
+        let step = follower.next(start.elapsed());
+        let turn = match &step {
+            Step::Rest(until) => tokio::select! {
+                () = sleep_until(start + *until) => Turn::Rested,
+                to = &mut moving => Turn::Moved(to),
+            },
+            Step::Ask(member, ask, within) => tokio::select! {
+                answer = timeout(*within, put(&protocol, &members[*member], &mut link, ask)) => {
+                    Turn::Answered(answer.unwrap_or(Answer::Failed(Failure::Silent)))
                 }
-                continue;
-            }
+                to = &mut moving => Turn::Moved(to),
+            },
         };
-        let what = ask.clone();
-        let asked = async {
-            match (&ask, &mut link) {
-                (Ask::Connect, link) => {
-                    // The old one goes first here: it was given up.
-                    *link = None;
-                    match protocol.connect(&members[member]).await {
-                        Ok(new) => {
-                            *link = Some(new);
-                            Answer::Connected
-                        }
-                        Err(failure) => Answer::Failed(failure),
-                    }
-                }
-                (_, Some(link)) => protocol.ask(link, ask).await,
-                (_, None) => Answer::Failed(Failure::Broken("no link".to_owned())),
-            }
-        };
-        let answer = tokio::select! {
-            answer = timeout(within, asked) => answer.unwrap_or(Answer::Failed(Failure::Silent)),
-            to = &mut moving => {
+        let answer = match turn {
+            Turn::Rested => continue,
+            Turn::Moved(to) => {
                 (members, link) = (to.members, Some(to.link));
                 tracing::info!("registry {name}: now at {}", members[0]);
                 follower.moved(members.len());
                 moving = Box::pin(moved(&protocol, to.places, connect_within));
                 continue;
             }
+            Turn::Answered(answer) => answer,
         };
         // A watch with nothing to tell is silent in all honesty.
-        if let Answer::Failed(failure) = &answer
-            && (*failure != Failure::Silent || what != Ask::Next)
+        if let (Answer::Failed(failure), Step::Ask(member, ask, _)) = (&answer, &step)
+            && (*failure != Failure::Silent || *ask != Ask::Next)
         {
-            tracing::warn!("registry {name}: {}: {what:?}: {failure:?}", members[member]);
+            tracing::warn!("registry {name}: {}: {ask:?}: {failure:?}", members[*member]);
         }
         if let Some(word) = follower.answered(start.elapsed(), answer)
             && tell(word).await == Verdict::Gap
@@ -136,3 +124,22 @@
         count(&follower.tally);
     }
 }
+
+/// Puts one ask to a member, over the link that there is or, for [`Ask::Connect`], a new one.
+async fn put<P: Protocol>(protocol: &P, place: &Place, link: &mut Option<P::Link>, ask: &Ask) -> Answer {
+    if *ask != Ask::Connect {
+        return match link {
+            Some(link) => protocol.ask(link, ask.clone()).await,
+            None => Answer::Failed(Failure::Broken("no link".to_owned())),
+        };
+    }
+    // The old one goes first here: it was given up.
+    *link = None;
+    match protocol.connect(place).await {
+        Ok(new) => {
+            *link = Some(new);
+            Answer::Connected
+        }
+        Err(failure) => Answer::Failed(failure),
+    }
+}
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -185,6 +185,15 @@
     after: Option<Vec<u8>>,
 }
 
+/// How far the silence of a watch has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Silence {
+    None,
+    /// It is to be asked how far it has come.
+    Noticed,
+    Nudged,
+}
+
 enum Stage {
     Resting(Duration),
     Connecting,
@@ -192,7 +201,7 @@
     Checking,
     Reading(Sweep),
     Opening,
-    Listening { partial: Vec<Told>, nudged: bool, asked: bool },
+    Listening { partial: Vec<Told>, silence: Silence },
     Polling { fresh: bool },
 }
 
@@ -258,11 +267,6 @@
         }
     }
 
-    /// All up to here has been told.
-    pub fn position(&self) -> Option<(Epoch, Revision)> {
-        Some((self.epoch, self.position?))
-    }
-
     /// What is to be done now.
     pub fn next(&mut self, now: Duration) -> Step {
         if let Stage::Resting(until) = self.stage {
@@ -296,11 +300,14 @@
                 let from = Revision(self.position.map_or(0, |at| at.0) + 1);
                 (Ask::Watch { from }, answer)
             }
-            Stage::Listening { nudged: true, asked, .. } if !*asked => {
-                *asked = true;
-                (Ask::Nudge, answer)
-            }
-            Stage::Listening { nudged, .. } => (Ask::Next, if *nudged { answer } else { self.limits.nudge }),
+            Stage::Listening { silence, .. } => match silence {
+                Silence::None => (Ask::Next, self.limits.nudge),
+                Silence::Noticed => {
+                    *silence = Silence::Nudged;
+                    (Ask::Nudge, answer)
+                }
+                Silence::Nudged => (Ask::Next, answer),
+            },
             Stage::Polling { fresh } => {
                 let index = self.position.map_or(0, |at| at.0);
                 // A question that does not wait is answered by what is there.
@@ -348,17 +355,7 @@
             Answer::Page { header, entries, last, more } => {
                 return self.page(now, header, entries, last, more);
             }
-            Answer::Watching { header } => {
-                // A member that is behind would be silent until it has come up, and none could tell why.
-                if self.known_as(header) && self.position.is_some_and(|at| header.revision < at) {
-                    self.lag(now);
-                } else if self.known_as(header) {
-                    self.tally.resumed += 1;
-                    self.stage = Stage::Listening { partial: Vec::new(), nudged: false, asked: false };
-                } else {
-                    self.begin_epoch(header);
-                }
-            }
+            Answer::Watching { header } => self.watching(now, header),
             Answer::Batch { header, entries, partial } => return self.batch(header, entries, partial),
             Answer::Progress { header } => return self.progress(now, header),
             Answer::Polled { index, led, age, entries } => return self.polled(now, index, led, age, entries),
@@ -366,15 +363,25 @@
         None
     }
 
-    fn known_as(&self, header: Header) -> bool {
-        self.cluster.is_none_or(|cluster| cluster == header.cluster)
+    /// Whether an answer is of another cluster than what is known: nothing of that can be resumed then, and the whole
+    /// is read anew.
+    fn is_of_another(&mut self, header: Header) -> bool {
+        if self.cluster.replace(header.cluster).is_none_or(|known| known == header.cluster) {
+            return false;
+        }
+        self.begin_epoch();
+        (self.position, self.told) = (None, None);
+        self.reread();
+        true
     }
 
-    /// What is known is of another history: nothing of it can be resumed.
-    fn begin_epoch(&mut self, header: Header) {
+    fn begin_epoch(&mut self) {
         self.tally.epochs += 1;
         self.epoch.0 += 1;
-        (self.cluster, self.position, self.told) = (Some(header.cluster), None, None);
+    }
+
+    /// From its beginning.
+    fn reread(&mut self) {
         self.stage = Stage::Reading(Sweep::default());
     }
 
@@ -389,7 +396,7 @@
         self.members.leave();
         if self.members.all_left() {
             self.members.fit();
-            self.stage = Stage::Reading(Sweep::default());
+            self.reread();
         } else {
             self.rest(now);
         }
@@ -401,14 +408,13 @@
         if !led {
             return self.failed(now, Failure::Leaderless);
         }
-        if !self.known_as(header) {
-            return self.begin_epoch(header);
+        if self.is_of_another(header) {
+            return;
         }
-        self.cluster = Some(header.cluster);
         match self.position {
             Some(at) if header.revision < at => self.lag(now),
             Some(_) => self.stage = Stage::Opening,
-            None => self.stage = Stage::Reading(Sweep::default()),
+            None => self.reread(),
         }
     }
 
@@ -427,8 +433,7 @@
         if more && !many && last.is_some() {
             sweep.after = last;
         }
-        if !self.known_as(header) {
-            self.begin_epoch(header);
+        if self.is_of_another(header) {
             return None;
         }
         if many {
@@ -439,11 +444,9 @@
             return None;
         }
         let Stage::Reading(sweep) = std::mem::replace(&mut self.stage, Stage::Opening) else { return None };
-        self.cluster = Some(header.cluster);
         // Vouched for by the leader: the registry itself went back, to a backup most likely.
         if self.told.is_some_and(|told| first < told) {
-            self.tally.epochs += 1;
-            self.epoch.0 += 1;
+            self.begin_epoch();
         }
         (self.position, self.told) = (Some(first), Some(first));
         self.healthy();
@@ -456,13 +459,24 @@
         self.members.fit();
     }
 
+    fn watching(&mut self, now: Duration, header: Header) {
+        if self.is_of_another(header) {
+            return;
+        }
+        // A member that is behind would be silent until it has come up, and none could tell why.
+        if self.position.is_some_and(|at| header.revision < at) {
+            return self.lag(now);
+        }
+        self.tally.resumed += 1;
+        self.stage = Stage::Listening { partial: Vec::new(), silence: Silence::None };
+    }
+
     fn batch(&mut self, header: Header, entries: Vec<Told>, more: bool) -> Option<Word> {
-        if !self.known_as(header) {
-            self.begin_epoch(header);
+        if self.is_of_another(header) {
             return None;
         }
-        let Stage::Listening { partial, nudged, asked } = &mut self.stage else { return None };
-        (*nudged, *asked) = (false, false);
+        let Stage::Listening { partial, silence } = &mut self.stage else { return None };
+        *silence = Silence::None;
         partial.extend(entries);
         if more {
             return None;
@@ -477,8 +491,7 @@
     }
 
     fn progress(&mut self, now: Duration, header: Header) -> Option<Word> {
-        if !self.known_as(header) {
-            self.begin_epoch(header);
+        if self.is_of_another(header) {
             return None;
         }
         let at = self.position?;
@@ -486,8 +499,8 @@
             self.lag(now);
             return None;
         }
-        let Stage::Listening { partial, nudged, asked } = &mut self.stage else { return None };
-        (*nudged, *asked) = (false, false);
+        let Stage::Listening { partial, silence } = &mut self.stage else { return None };
+        *silence = Silence::None;
         if !partial.is_empty() {
             return None;
         }
@@ -525,8 +538,7 @@
             return None;
         }
         if back {
-            self.tally.epochs += 1;
-            self.epoch.0 += 1;
+            self.begin_epoch();
         }
         self.tally.reads += 1;
         self.stage = Stage::Polling { fresh: false };
@@ -541,13 +553,11 @@
     }
 
     fn failed(&mut self, now: Duration, failure: Failure) {
-        let silent = failure == Failure::Silent;
         // A silent watch may have nothing to tell: it is asked how far it has come before it is given up.
-        if let Stage::Listening { nudged, asked, .. } = &mut self.stage
-            && silent
-            && !*nudged
+        if let Stage::Listening { silence: silence @ Silence::None, .. } = &mut self.stage
+            && failure == Failure::Silent
         {
-            (*nudged, *asked) = (true, false);
+            *silence = Silence::Noticed;
             return;
         }
         self.tally.failures += 1;
@@ -561,12 +571,12 @@
             (Failure::TooLarge, Stage::Reading(_)) if self.page > 1 => {
                 self.too_large = self.page;
                 self.page /= 2;
-                self.stage = Stage::Reading(Sweep::default());
+                self.reread();
             }
             // It would come again: what it tells is read with the whole.
             (Failure::TooLarge, Stage::Listening { .. }) => {
                 self.position = None;
-                self.stage = Stage::Reading(Sweep::default());
+                self.reread();
             }
             (Failure::Unauthorised, stage) if self.named && !matches!(stage, Stage::Authenticating) => {
                 self.unauthorised += 1;
@@ -587,6 +597,6 @@
         self.tally.compacted += 1;
         self.compacted_in_a_row += 1;
         // What is known stands until the whole has been read; the read itself tells who is gone.
-        self.stage = Stage::Reading(Sweep::default());
+        self.reread();
     }
 }
--- a/crates/registry/src/values.rs
+++ b/crates/registry/src/values.rs
@@ -50,12 +50,7 @@
 
 impl Value {
     fn entry(self, created: Revision, places: &Places) -> Result<Entry, String> {
-        let standing = match self.state.as_deref() {
-            None | Some("running") => Standing::Running,
-            Some("aside") => Standing::Aside,
-            Some("draining") => Standing::Draining,
-            Some(other) => return Err(format!("state is not running, aside or draining: {other:?}")),
-        };
+        let standing = Standing::of(self.state.as_deref())?;
         Ok(Entry {
             life: Life { started: start(self.started_ms)?, created },
             dial: Some(self.address),
