--- a/src/policy.rs
+++ b/src/policy.rs
@@ -503,7 +503,8 @@
         (0..rows.len()).for_each(|table| self.note_due(table));
     }
 
-    /// As few pools in each home as let the channel's part carry all their tables, whole, in a second.
+    /// As few pools in each home as let the channel's part carry all their tables, whole, in a second, but with no
+    /// fewer lines than proxies bring along: where heads alone fill the channel, shorter ones would save little.
     fn pools_wanted(&self) -> usize {
         let (site, homes) = (&self.site, self.homes as f64);
         let (proxies, pilots) = (site.proxies as f64, site.pilots.max(1) as f64);
@@ -511,7 +512,8 @@
         let (all, at_most) = (self.fleet.len() as f64, (at_home / LEAST_POOL).max(1.0));
         let room = site.lines_per_second * CHANNEL_PART * pilots / proxies.max(1.0) - site.lines_per_message;
         let lines = all + all / homes * (COPIES - 1) as f64;
-        if all <= room { 1 } else { (lines / room.max(1.0)).ceil().min(at_most) as usize }
+        let room = room.max(site.standing as f64).max(1.0);
+        if all <= room { 1 } else { (lines / room).ceil().min(at_most) as usize }
     }
 
     fn lightest_pool(&self, home: usize) -> usize {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -405,6 +405,29 @@
     }
 }
 
+/// One pilot of five, and the proxies of its zone: heads alone take a third of the channel for more than a second.
+fn whole_fleet() -> Host {
+    let zones =
+        Deployment { pilots: 5, proxies: 2256, homed: true, zones: 4, crossing_price: 0.1, ..deployment() };
+    let channel = Deployment { lines_per_second: 10_300.0, waiting_lines: 85_800.0, standing: 12, ..zones };
+    let mut host = Host::new(Deployment { lines_per_message: 6.0, ..channel });
+    let list: Vec<Listed> = (0..200).map(|e| listed(e, e % 4)).collect();
+    host.list(true, &list);
+    (0..450).for_each(|proxy| host.join(proxy, 0));
+    host.quiet(30);
+    host
+}
+
+#[test]
+fn where_heads_fill_the_channel_tables_are_as_long_as_those_that_proxies_start_with() {
+    let host = whole_fleet();
+    assert_eq!(host.bound.len(), 450);
+    for table in host.bound.values() {
+        let home = host.tables[table].keys().filter(|e| *e % 4 == 0).count();
+        assert!(home >= 3 && host.tables[table].len() <= 2 * 12, "{home} of {}", host.tables[table].len());
+    }
+}
+
 #[test]
 fn a_pool_whose_own_endpoints_all_go_is_served_by_others() {
     let mut host = grown();
