Pools list as many endpoints as each other

Endpoints a zone are about 50: at 25 each pool lists four of its home's, at 32 some two and some four, and a pool of two has no way out when one jams. At fault: deal. The second line lay next to the first, so the pools where the last lap ends had two more than others, and the lines of all other zones began at the same pool (9 beside 6). Change: the second line lies half way round, those of other zones start apart.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -541,11 +541,14 @@
             all.extend(row.iter().map(|share| share * demands[flow].max(LEAST_SPAN)));
             for e in (0..size).filter(|&e| row[e] > 0.0) {
                 let rank = self.fleet.rank[e];
-                let copies = if self.fleet.home[e] == flow / groups { COPIES.min(pools) } else { 1 };
+                let away = (self.fleet.home[e] + self.homes - flow / groups) % self.homes;
+                let (lap, place) = (rank / pools, (rank + away * pools / self.homes) % pools);
+                let copies = if away == 0 { COPIES.min(pools) } else { 1 };
                 let ours = rank / pools % self.site.pilots == self.site.me;
                 let copies = if self.crowded() { usize::from(ours) } else { copies };
                 for copy in 0..copies {
-                    let pool = (rank + copy * (1 + rank / pools % (pools - 1))) % pools;
+                    // Half way round, or pools where the last lap ends would have two lines more than others.
+                    let pool = (place + copy * (1 + (pools / 2 + lap) % (pools - 1))) % pools;
                     let table = (flow / groups * pools + pool) * groups + flow % groups;
                     cells.push((table, flow * size + e, row[e]));
                     let steady = if self.ramping(e) { 0.0 } else { all[flow * size + e] };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -428,6 +428,18 @@
     }
 }
 
+#[test]
+fn pools_list_as_many_endpoints_as_each_other() {
+    let host = whole_fleet();
+    let lines = |near: bool| -> BTreeSet<usize> {
+        let count = |table| host.tables[table].keys().filter(|e| (*e % 4 == 0) == near).count();
+        host.bound.values().map(count).collect()
+    };
+    for (lines, apart) in [(lines(true), 1), (lines(false), 2)] {
+        assert!(lines.last().unwrap() - lines.first().unwrap() <= apart, "{lines:?}");
+    }
+}
+
 #[test]
 fn a_pool_whose_own_endpoints_all_go_is_served_by_others() {
     let mut host = grown();
