Counts that cannot be held are refused; stories of other shapes; counters of lag

Need: a list of classes beyond 64 was wrapped (sets of classes are bits of one number), 'me' beyond the pilots, no pilot, no class, no zone and proxies past 65,535 were taken; nothing told a lagging pilot from a full channel. Change: such settings end the start with one line that names the field. Counters: longest turn, lines not confirmed and the most of them, the class let in least, milliseconds that sums covered; USR1 prints each class's level. No cap on lists of pilots or endpoints was found in the program.

--- a/crates/host/src/counters.rs
+++ b/crates/host/src/counters.rs
@@ -19,6 +19,11 @@
         self.1.store(count as u64, Relaxed);
     }
 
+    /// For the most that was ever seen.
+    pub fn raise(&self, count: usize) {
+        self.1.fetch_max(count as u64, Relaxed);
+    }
+
     pub fn get(&self) -> u64 {
         self.1.load(Relaxed)
     }
@@ -35,6 +40,10 @@
 
 counters! {
     TURNS: "turns of the decisions",
+    LONGEST_TURN: "milliseconds of the longest turn",
+    LINES_WAITING: "lines not confirmed",
+    MOST_LINES_WAITING: "most lines not confirmed",
+    LEAST_LEVEL: "thousandths of the class let in least",
     LISTS: "lists taken in",
     GIVEN_BACK: "endpoints' numbers given back",
     STALE: "stale words of sources left out",
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -99,6 +99,7 @@
             () = sleep_until(hand_at) => {}
         }
         counters::TURNS.add(1);
+        let begun = Instant::now();
         let now = clock.read();
         if wake_at <= Instant::now() {
             wake_at = Instant::now() + LONGEST_SLEEP;
@@ -123,5 +124,7 @@
             }
         }
         front.release();
+        counters::LONGEST_TURN.raise(Instant::now().saturating_duration_since(begun).as_millis() as usize);
+        seat.tell_counters();
     }
 }
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/seat.rs
@@ -42,6 +42,22 @@
         handover.map_or_else(Orders::default, |handover| self.list(now, handover))
     }
 
+    /// What the decisions stand at, for the line of counters.
+    pub fn tell_counters(&self) {
+        let waiting = self.pilot.lines_waiting() as usize;
+        counters::LINES_WAITING.set(waiting);
+        counters::MOST_LINES_WAITING.raise(waiting);
+        let least = self.pilot.levels().iter().copied().fold(1.0, f64::min);
+        counters::LEAST_LEVEL.set((least * 1000.0) as usize);
+    }
+
+    /// The level of each class, by name.
+    pub fn tell_levels(&self, classes: &[String]) {
+        let levels = classes.iter().zip(self.pilot.levels());
+        let levels: Vec<String> = levels.map(|(class, level)| format!("{class} {level:.2}")).collect();
+        tracing::info!("levels: {}", levels.join(", "));
+    }
+
     /// A line a source: how far it has told, and how long ago it last said anything.
     pub fn tell_sources(&self, now: Duration) {
         for state in self.fleet.states() {
--- a/crates/opening/src/settings.rs
+++ b/crates/opening/src/settings.rs
@@ -50,6 +50,19 @@
     Ok(ClassTerms { latency_goal: span_field(class, "on_time_ms")?, value: class.number("worth")?, own_zone })
 }
 
+/// What the decisions could not hold is refused here: sets of classes are bits of one number, proxies and tables go
+/// by numbers below 65,536.
+fn fits(key: &str, count: usize, least: usize, most: usize) -> Res<usize> {
+    match (least..=most).contains(&count) {
+        true => Ok(count),
+        false => Err(format!("settings: field '{key}' tells {count}, where {least} to {most} can be held")),
+    }
+}
+
+const MOST_CLASSES: usize = 64;
+const MOST_PROXIES: usize = 65_535;
+const MOST_ZONES: usize = 1024;
+
 pub fn opening(settings: Fields) -> Res<Opening> {
     let domain = settings.object("domain")?;
     let rules = settings.object("rules")?;
@@ -60,17 +73,27 @@
         None => &[],
     };
     let classes = settings.list("classes")?;
+    let zones = settings.list("zones")?;
+    fits("classes", classes.len(), 1, MOST_CLASSES)?;
+    let pilots = fits("balancers", settings.small("balancers")? as usize, 1, usize::MAX)?;
+    let me = settings.small("me")? as usize;
+    if me >= pilots {
+        return Err(format!("settings: field 'me' is {me}, but there are {pilots} pilots, numbered from 0"));
+    }
+    if confined.len() > classes.len() {
+        return Err("domain: field 'class_own_zone' is longer than the list of classes".to_owned());
+    }
     let terms = classes.iter().enumerate().map(|(place, class)| {
         class_terms(class, confined.get(place).and_then(Value::as_bool).unwrap_or(false))
     });
     let slices = domain.whole("key_ranges")?;
     let unlimited = domain.whole("pushes_allowed")? == 0;
     let deployment = Deployment {
-        pilots: settings.small("balancers")? as usize,
-        me: settings.small("me")? as usize,
-        proxies: domain.whole("proxy_count")? as usize,
+        pilots,
+        me,
+        proxies: fits("proxy_count", domain.whole("proxy_count")? as usize, 0, MOST_PROXIES)?,
         homed: domain.flag("homed_by_zone")?,
-        zones: settings.list("zones")?.len(),
+        zones: fits("zones", zones.len(), 1, MOST_ZONES)?,
         classes: terms.collect::<Res<_>>()?,
         level_unit: match domain.text("admit")? {
             "ratio" => LevelUnit::Share,
@@ -103,10 +126,54 @@
         deployment,
         load_fields: texts("report", "fields", report.list("fields")?)?,
         slices,
-        zones: texts("settings", "zones", settings.list("zones")?)?,
+        zones: texts("settings", "zones", zones)?,
         kinds: spare_texts(settings, "models")?,
         classes: classes.iter().map(|class| name(class).unwrap_or_default()).collect(),
         turn: optional_span(settings, "round_ms")?,
         connect_within: optional_span(limits, "connect_timeout_ms")?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn settings() -> Value {
+        let file: Value = serde_json::from_str(include_str!("../../../examples/pilot.json")).unwrap();
+        file["settings"].clone()
+    }
+
+    fn refused(settings: &Value) -> String {
+        opening(Fields::of("settings", settings).unwrap()).err().unwrap_or_default()
+    }
+
+    #[test]
+    fn a_fleet_of_350_pilots_and_64_classes_is_taken_and_what_cannot_be_held_is_named() {
+        let mut large = settings();
+        (large["balancers"], large["me"]) = (json!(350), json!(349));
+        large["classes"] = vec![large["classes"][0].clone(); 64].into();
+        large["domain"]["class_own_zone"] = vec![json!(false); 64].into();
+        large["zones"] = (0..300).map(|zone| format!("z{zone}")).collect();
+        assert_eq!(refused(&large), "");
+        let one_more = vec![large["classes"][0].clone(); 65];
+        let zones: Vec<Value> = (0..2000).map(|zone| json!(format!("z{zone}"))).collect();
+        for (field, value) in [
+            ("balancers", json!(0)),
+            ("me", json!(350)),
+            ("classes", json!([])),
+            ("classes", one_more.into()),
+            ("zones", json!([])),
+            ("zones", zones.into()),
+        ] {
+            let mut wrong = large.clone();
+            wrong[field] = value;
+            assert!(refused(&wrong).contains(&format!("'{field}'")), "{field}: {}", refused(&wrong));
+        }
+        for (field, value) in [("proxy_count", json!(1 << 20)), ("class_own_zone", json!(vec![true; 65]))] {
+            let mut wrong = large.clone();
+            wrong["domain"][field] = value;
+            assert!(refused(&wrong).contains(field), "{field}: {}", refused(&wrong));
+        }
+    }
+}
--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -93,7 +93,9 @@
     fn calls(&self) -> Option<(f64, f64, Duration)> {
         let span = span(self.interval, LONGEST_SPAN).filter(|span| !span.is_zero())?;
         let most = MOST_CALLS * span.as_secs_f64().max(1.0);
-        Some((amount(self.total, most)?, amount(self.errors, most)?, span))
+        let calls = (amount(self.total, most)?, amount(self.errors, most)?, span);
+        counters::COVERED.add(span.as_millis() as usize);
+        Some(calls)
     }
 
     fn admit_outcomes(self, terms: &Terms) -> Option<Call> {
--- a/crates/pilot/src/counters.rs
+++ b/crates/pilot/src/counters.rs
@@ -6,6 +6,7 @@
     BROKEN: "connections closed as broken",
     FRAMES: "frames taken in",
     SUMS: "sums taken in",
+    COVERED: "milliseconds that they covered",
     SPOILT: "spoilt messages left out",
     UNLISTED: "sums of endpoints not listed",
     ALIVE: "alive answered",
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -98,7 +98,7 @@
     tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, limits, desk.clone()));
     tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, desk.clone(), calls_chance));
     tasks.spawn_local(joined.follow(news_chance));
-    let terms = collectors::Terms { zones, classes, proxies };
+    let terms = collectors::Terms { zones, classes: classes.clone(), proxies };
     tasks.spawn_local(collectors::listen(listener, terms, limits, desk.clone()));
     loop {
         tokio::select! {
@@ -106,8 +106,10 @@
             _ = interrupt.recv() => return Ok(()),
             _ = ask.recv() => {
                 tracing::info!("{}", counters::line());
-                desk.tell(Box::new(|seat, now| {
+                let classes = classes.clone();
+                desk.tell(Box::new(move |seat, now| {
                     seat.tell_sources(now);
+                    seat.tell_levels(&classes);
                     Orders::default()
                 }))
                 .await;
--- a/src/state.rs
+++ b/src/state.rs
@@ -523,8 +523,13 @@
         self.waiting.retain(|waits| (waits.0, waits.1) != (mark, id));
     }
 
+    /// What of each class is let in, 1 for all.
+    pub fn levels(&self) -> &[f64] {
+        &self.levels
+    }
+
     /// Lines that may still wait in the channel, as far as its proxies have confirmed.
-    pub(crate) fn lines_waiting(&self) -> f64 {
+    pub fn lines_waiting(&self) -> f64 {
         self.waiting.iter().map(|waits| waits.2).sum()
     }
 
