One check for counts, bindings priced where someone waits, one set-up for stories

Behaviour as before. unbound_proxy priced every pool on each join, and went through the proxies twice; now a pool is priced when the first of its proxies that waits is met. The sum of lines not confirmed is recounted where messages go, in place of three subtractions. Counts of the settings are checked by Fields::within, which names the right object ('domain' for proxy_count and class_own_zone). Stories start by Host::started and bring calls by Host::bring; the shapes are deployments.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -124,7 +124,7 @@
             }
         }
         front.release();
-        counters::LONGEST_TURN.raise(Instant::now().saturating_duration_since(begun).as_millis() as usize);
+        counters::LONGEST_TURN.raise(begun.elapsed().as_millis() as usize);
         seat.tell_counters();
     }
 }
--- a/crates/opening/src/fields.rs
+++ b/crates/opening/src/fields.rs
@@ -1,5 +1,7 @@
 //! Named fields of one wire object, with errors that say what is wrong and where.
 
+use std::ops::RangeInclusive;
+
 use serde_json::{Map, Value};
 
 pub type Res<T> = Result<T, String>;
@@ -51,6 +53,14 @@
         self.required(key, "a small whole number", read)
     }
 
+    /// A count that the field tells, if it can be held.
+    pub fn within(&self, key: &str, count: usize, held: RangeInclusive<usize>) -> Res<usize> {
+        let (least, most) = (held.start(), held.end());
+        let wrong =
+            || format!("{}: field '{key}' tells {count}, where {least} to {most} can be held", self.place);
+        held.contains(&count).then_some(count).ok_or_else(wrong)
+    }
+
     pub fn flag(&self, key: &str) -> Res<bool> {
         self.required(key, "true or false", Value::as_bool)
     }
--- a/crates/opening/src/settings.rs
+++ b/crates/opening/src/settings.rs
@@ -50,15 +50,7 @@
     Ok(ClassTerms { latency_goal: span_field(class, "on_time_ms")?, value: class.number("worth")?, own_zone })
 }
 
-/// What the decisions could not hold is refused here: sets of classes are bits of one number, proxies and tables go
-/// by numbers below 65,536.
-fn fits(key: &str, count: usize, least: usize, most: usize) -> Res<usize> {
-    match (least..=most).contains(&count) {
-        true => Ok(count),
-        false => Err(format!("settings: field '{key}' tells {count}, where {least} to {most} can be held")),
-    }
-}
-
+/// What the decisions could hold: sets of classes are bits of one number, proxies and tables go by numbers below 65,536.
 const MOST_CLASSES: usize = 64;
 const MOST_PROXIES: usize = 65_535;
 const MOST_ZONES: usize = 1024;
@@ -74,15 +66,11 @@
     };
     let classes = settings.list("classes")?;
     let zones = settings.list("zones")?;
-    fits("classes", classes.len(), 1, MOST_CLASSES)?;
-    let pilots = fits("balancers", settings.small("balancers")? as usize, 1, usize::MAX)?;
-    let me = settings.small("me")? as usize;
-    if me >= pilots {
-        return Err(format!("settings: field 'me' is {me}, but there are {pilots} pilots, numbered from 0"));
-    }
-    if confined.len() > classes.len() {
-        return Err("domain: field 'class_own_zone' is longer than the list of classes".to_owned());
-    }
+    settings.within("classes", classes.len(), 1..=MOST_CLASSES)?;
+    domain.within("class_own_zone", confined.len(), 0..=classes.len())?;
+    let pilots =
+        settings.within("balancers", settings.small("balancers")? as usize, 1..=u32::MAX as usize)?;
+    let me = settings.within("me", settings.small("me")? as usize, 0..=pilots - 1)?;
     let terms = classes.iter().enumerate().map(|(place, class)| {
         class_terms(class, confined.get(place).and_then(Value::as_bool).unwrap_or(false))
     });
@@ -91,9 +79,9 @@
     let deployment = Deployment {
         pilots,
         me,
-        proxies: fits("proxy_count", domain.whole("proxy_count")? as usize, 0, MOST_PROXIES)?,
+        proxies: domain.within("proxy_count", domain.whole("proxy_count")? as usize, 0..=MOST_PROXIES)?,
         homed: domain.flag("homed_by_zone")?,
-        zones: fits("zones", zones.len(), 1, MOST_ZONES)?,
+        zones: settings.within("zones", zones.len(), 1..=MOST_ZONES)?,
         classes: terms.collect::<Res<_>>()?,
         level_unit: match domain.text("admit")? {
             "ratio" => LevelUnit::Share,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -544,7 +544,7 @@
                 let away = (self.fleet.home[e] + self.homes - flow / groups) % self.homes;
                 let (lap, place) = (rank / pools, (rank + away * pools / self.homes) % pools);
                 let copies = if away == 0 { COPIES.min(pools) } else { 1 };
-                let ours = rank / pools % self.site.pilots == self.site.me;
+                let ours = lap % self.site.pilots == self.site.me;
                 let copies = if self.crowded() { usize::from(ours) } else { copies };
                 for copy in 0..copies {
                     // Half way round, or pools where the last lap ends would have two lines more than others.
@@ -676,12 +676,12 @@
     }
 
     fn fits(&self, table: usize, messages: f64, queue: f64, urgent: bool) -> bool {
-        let Table { due, first, .. } = &self.tables[table];
-        let needed = if urgent { *first } else { due.len() + self.levels_worth_telling(table).len() };
         let fitting = self.lines_fitting(table, queue, urgent);
         if fitting == 0 {
             return false;
         }
+        let Table { due, first, .. } = &self.tables[table];
+        let needed = if urgent { *first } else { due.len() + self.levels_worth_telling(table).len() };
         let pace = self.site.lines_per_second * CHANNEL_PART / self.proxies_of(table).count() as f64;
         let half = ((pace - self.message_lines(0)) / 2.0).max(1.0) as usize;
         fitting >= needed.min(half) && self.proxies_of(table).all(|proxy| self.messages_left(proxy, messages))
@@ -711,9 +711,7 @@
     /// What a binding costs is the pool's: while thousands wait for room, it is looked up once for each pool.
     fn unbound_proxy(&self) -> Option<usize> {
         let room = QUEUE_PART / 2.0 * self.site.waiting_lines - self.lines_waiting();
-        let waits = |(_, proxy): &(_, &Proxy)| !proxy.bound && proxy.left.is_none();
-        if self.site.sliced || room < self.message_lines(0) || !self.proxies.iter().any(|proxy| waits(&proxy))
-        {
+        if self.site.sliced || room < self.message_lines(0) {
             return None;
         }
         let has_lines = |table: &Table| table.sent.iter().any(|&weight| weight > 0.0);
@@ -721,9 +719,10 @@
             let lines = self.message_lines(self.binding_lines(pool));
             lines <= room && self.tables_of(pool).iter().any(has_lines)
         };
-        let fit: Vec<bool> = (0..self.pools.len()).map(fits).collect();
-        let mut waiting = self.proxies.iter().filter(waits);
-        waiting.find(|(_, proxy)| fit[proxy.pool]).map(|(id, _)| id.0 as usize)
+        let mut known = vec![None; self.pools.len()];
+        let mut waiting = self.proxies.iter().filter(|(_, proxy)| !proxy.bound && proxy.left.is_none());
+        let fitting = waiting.find(|(_, proxy)| *known[proxy.pool].get_or_insert_with(|| fits(proxy.pool)));
+        fitting.map(|(id, _)| id.0 as usize)
     }
 
     fn confirmed_bad(&self) -> Option<usize> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -339,8 +339,8 @@
     pub gates: f64,
 }
 
-/// Messages not confirmed, oldest first: mark, proxy, lines and time. Their lines are asked for by every rule that
-/// orders, for each proxy and table, so the sum is kept; of whole numbers, it stays exact.
+/// Messages not confirmed, oldest first: mark, proxy, lines and time. Every rule that orders asks for their lines, for
+/// each proxy and table, so the sum is kept beside them.
 #[derive(Default)]
 pub struct Waiting {
     messages: VecDeque<(u32, ProxyId, f64, Duration)>,
@@ -354,18 +354,19 @@
     }
 
     fn retain(&mut self, stays: impl Fn(u32, ProxyId) -> bool) {
-        let lines = &mut self.lines;
-        self.messages.retain(|&(mark, id, waits, _)| {
-            let stays = stays(mark, id);
-            *lines -= if stays { 0.0 } else { waits };
-            stays
-        });
+        self.messages.retain(|waits| stays(waits.0, waits.1));
+        self.recount();
     }
 
     fn drop_first(&mut self, count: usize) {
-        self.lines -= self.messages.drain(..count).map(|waits| waits.2).sum::<f64>();
-        // Heads may cost a part of a line: what rounding left over goes with the last.
-        self.lines = if self.messages.is_empty() { 0.0 } else { self.lines };
+        if count > 0 {
+            self.messages.drain(..count);
+            self.recount();
+        }
+    }
+
+    fn recount(&mut self) {
+        self.lines = self.messages.iter().map(|waits| waits.2).sum();
     }
 }
 
@@ -544,12 +545,12 @@
     /// What was ordered under a mark went out once more, as nothing told whether it had been carried out.
     pub fn repeated(&mut self, now: Duration, mark: u32) {
         for waits in self.waiting.messages.iter_mut().filter(|waits| waits.0 == mark) {
-            self.waiting.lines += waits.2;
             waits.2 *= 2.0;
             if let Some(known) = self.proxies.get_mut(&waits.1) {
                 known.note_message(now, self.site.messages_span);
             }
         }
+        self.waiting.recount();
     }
 
     /// Messages leave the channel in order: what was ordered before a confirmed mark has left.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -66,6 +66,22 @@
     }
 }
 
+/// A part of the whole fleet's channel: heads alone take a third of it for more than a second.
+pub fn whole_fleet() -> Deployment {
+    Deployment {
+        pilots: 5,
+        proxies: 2400,
+        homed: true,
+        zones: 4,
+        crossing_price: 0.1,
+        lines_per_second: 10_300.0,
+        waiting_lines: 85_800.0,
+        lines_per_message: 6.0,
+        standing: 12,
+        ..deployment()
+    }
+}
+
 pub fn listed(endpoint: u32, zone: u32) -> Listed {
     Listed {
         endpoint: EndpointId(endpoint),
@@ -100,11 +116,16 @@
 
     /// `endpoints` alike, by turns in two zones, and a proxy of 20 calls a second in each zone.
     pub fn running(deployment: Deployment, endpoints: u32) -> Self {
+        Host::started(deployment, endpoints, [0, 1])
+    }
+
+    /// `endpoints` alike, by turns in all zones, and a proxy in each zone that is named.
+    pub fn started(deployment: Deployment, endpoints: u32, homes: impl IntoIterator<Item = u32>) -> Self {
+        let zones = deployment.zones as u32;
         let mut host = Host::new(deployment);
-        let list: Vec<Listed> = (0..endpoints).map(|e| listed(e, e % 2)).collect();
+        let list: Vec<Listed> = (0..endpoints).map(|e| listed(e, e % zones)).collect();
         host.list(true, &list);
-        host.join(0, 0);
-        host.join(1, 1);
+        (0..).zip(homes).for_each(|(proxy, home)| host.join(proxy, home));
         host
     }
 
@@ -132,10 +153,10 @@
         self.carry_out(orders);
     }
 
-    /// Calls of the first class that came to a proxy in a second.
-    pub fn bring(&mut self, proxy: u32, calls: f64) {
+    /// Calls of a class that came to a proxy.
+    pub fn bring(&mut self, proxy: u32, class: u32, calls: f64) {
         let came = Came { calls, span: self.span };
-        let orders = self.pilot.came(self.now, ProxyId(proxy), ClassId(0), came);
+        let orders = self.pilot.came(self.now, ProxyId(proxy), ClassId(class), came);
         self.carry_out(orders);
     }
 
@@ -167,9 +188,7 @@
                 }
             }
             for (proxy, class) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
-                let came = Came { calls, span: self.span };
-                let orders = self.pilot.came(self.now, ProxyId(proxy), ClassId(class), came);
-                self.carry_out(orders);
+                self.bring(proxy, class, calls);
             }
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::*;
-use host::{Host, MS, Second, deployment, listed};
+use host::{Host, MS, Second, deployment, listed, whole_fleet};
 
 const CALM: fn(u32) -> Option<Second> = |e| (e < 6).then_some((10.0, 0.0, 0.5));
 
@@ -385,10 +385,7 @@
 fn grown_beside(pilots: usize, me: usize) -> Host {
     let channel = Deployment { lines_per_second: 3_000.0, waiting_lines: 3_000.0, ..homes() };
     let site = Deployment { pilots, me, proxies: 80 * pilots, messages: None, ..channel };
-    let mut host = Host::new(site);
-    let list: Vec<Listed> = (0..80).map(|e| listed(e, e % 2)).collect();
-    host.list(true, &list);
-    (0..80).for_each(|proxy| host.join(proxy, proxy % 2));
+    let mut host = Host::started(site, 80, (0..80).map(|proxy| proxy % 2));
     host.quiet(10);
     host
 }
@@ -407,22 +404,16 @@
     }
 }
 
-/// One pilot of five, and the proxies of its zone: heads alone take a third of the channel for more than a second.
-fn whole_fleet() -> Host {
-    let zones =
-        Deployment { pilots: 5, proxies: 2256, homed: true, zones: 4, crossing_price: 0.1, ..deployment() };
-    let channel = Deployment { lines_per_second: 10_300.0, waiting_lines: 85_800.0, standing: 12, ..zones };
-    let mut host = Host::new(Deployment { lines_per_message: 6.0, ..channel });
-    let list: Vec<Listed> = (0..200).map(|e| listed(e, e % 4)).collect();
-    host.list(true, &list);
-    (0..450).for_each(|proxy| host.join(proxy, 0));
+/// One pilot of five, and the proxies of its zone.
+fn one_of_five() -> Host {
+    let mut host = Host::started(Deployment { proxies: 2256, ..whole_fleet() }, 200, [0; 450]);
     host.quiet(30);
     host
 }
 
 #[test]
 fn where_heads_fill_the_channel_tables_are_as_long_as_those_that_proxies_start_with() {
-    let host = whole_fleet();
+    let host = one_of_five();
     assert_eq!(host.bound.len(), 450);
     for table in host.bound.values() {
         let home = host.tables[table].keys().filter(|e| *e % 4 == 0).count();
@@ -432,7 +423,7 @@
 
 #[test]
 fn thousands_that_wait_for_room_cost_a_look_a_pool_and_are_bound_as_room_comes() {
-    let mut host = whole_fleet();
+    let mut host = one_of_five();
     host.confirms = false;
     (450..2400).for_each(|proxy| host.join(proxy, 0));
     host.quiet(2);
@@ -440,7 +431,7 @@
     assert!(bound < 2200, "{bound} of 2400 fill the channel");
     // A second's sums: each input goes through all rules.
     for proxy in 0..200 {
-        host.bring(proxy, 1.0);
+        host.bring(proxy, 0, 1.0);
     }
     // 21 pools in each of four zones.
     assert!(host.pilot.priced() - priced <= 200 * 84, "{}", host.pilot.priced() - priced);
@@ -453,7 +444,7 @@
 
 #[test]
 fn pools_list_as_many_endpoints_as_each_other() {
-    let host = whole_fleet();
+    let host = one_of_five();
     let lines = |near: bool| -> BTreeSet<usize> {
         let count = |table| host.tables[table].keys().filter(|e| (*e % 4 == 0) == near).count();
         host.bound.values().map(count).collect()
