Comers keep their part in a jam where proxies keep away from nothing

At fault: piling() and its copy in step_table, which take every ramping line out while a quarter of tries fail, as proxies' own avoidance would pile onto them. This site's proxies judge no endpoint (ejects 0); only second tries pile up, and those can be counted. Ruled out: channel (at most 15,000 lines waiting for a second), CPU (0.1 s in the dearest second), age of sums (924 of 1,105 proxies heard by then). Change: the rule acts where proxies keep away by themselves; elsewhere ramps are eased by what second tries add, and leave a table where that passes the fall multiple.

--- a/crates/opening/src/settings.rs
+++ b/crates/opening/src/settings.rs
@@ -102,6 +102,7 @@
         lines_per_second: domain.amount("lines_per_s")?,
         waiting_lines: domain.amount("backlog")?,
         lines_per_message: domain.amount("per_message")?,
+        keep_away: domain.optional("ejects").map_or(Ok(0), |_| domain.whole("ejects"))? > 0,
         standing: domain.optional("standing").map_or(Ok(0), |_| domain.small("standing"))? as usize,
         messages: if unlimited { None } else { Some(domain.small("pushes_allowed")? as usize) },
         messages_span: if unlimited { Duration::ZERO } else { span_field(domain, "messages_over_ms")? },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,8 @@
     /// Lines that may wait in the channel.
     pub waiting_lines: f64,
     pub lines_per_message: f64,
+    /// Proxies keep away for a while, by themselves, from endpoints that failed them.
+    pub keep_away: bool,
     /// How many endpoints the table has that a proxy starts with.
     pub standing: usize,
     /// Messages one proxy may get within `messages_span`; `None` for no limit.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 //!     lines_per_second: 10_000.0,
 //!     waiting_lines: 10_000.0,
 //!     lines_per_message: 4.0,
+//!     keep_away: false,
 //!     standing: 0,
 //!     messages: None,
 //!     messages_span: Duration::ZERO,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -581,18 +581,39 @@
         let tries = self.state.tries.max(demand.map(|(rate, level)| rate * level).sum());
         let per_flow = tries / flows.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let sum = |table: &Table| table.weight.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let per_weight: Vec<f64> =
-            self.tables.iter().zip(flows).map(|(table, flow)| per_flow * flow / sum(table)).collect();
+        let per = |(table, flow): (&Table, &f64)| per_flow * flow / sum(table) * self.swell(&table.weight);
+        let per_weight: Vec<f64> = self.tables.iter().zip(flows).map(per).collect();
         for e in (0..ramping.len()).filter(|&e| ramping[e]) {
             let brings = self.tables.iter().zip(&per_weight).map(|(table, per)| table.weight[e] * per);
             let part = CAUTION * self.fleet.capacity[e] / brings.sum::<f64>().max(f64::MIN_POSITIVE);
             self.tables.iter_mut().for_each(|table| table.weight[e] *= part.min(1.0));
         }
+        // All second tries of a line that holds most of a table would come to the few beside it, however small.
+        let steady =
+            |table: &Table| table.weight.iter().zip(ramping).any(|(weight, ramp)| *weight > 0.0 && !ramp);
+        for table in (0..self.tables.len()).filter(|&table| steady(&self.tables[table])).collect::<Vec<_>>() {
+            let swollen = self.swell(&self.tables[table].weight) > self.site.fall_multiple;
+            let lines = self.tables[table].weight.iter_mut().zip(ramping);
+            lines.filter(|(_, ramping)| swollen && **ramping).for_each(|(weight, _)| *weight = 0.0);
+        }
+    }
+
+    /// By how much second tries may swell a line of a table: what fails goes on by weight to the other lines.
+    fn swell(&self, weights: &[f64]) -> f64 {
+        let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        let again = |(e, weight): (usize, &f64)| match weight / sum {
+            part if part < 1.0 => part * self.fleet.failed_part(e) / (1.0 - part),
+            _ => 0.0,
+        };
+        1.0 + weights.iter().enumerate().map(again).sum::<f64>()
     }
 
-    /// When many tries fail, further tries and proxies' own avoidance pile onto whatever still answers,
+    /// Where proxies keep away by themselves from what fails, many failing tries pile onto whatever still answers,
     /// whatever its share. So it may be with proxies back but not heard since, and in a single table.
     fn piling(&self) -> bool {
+        if !self.site.keep_away {
+            return false;
+        }
         let part = |pick: fn(&Proxy) -> bool| -> f64 {
             self.joined_proxies().filter(|proxy| pick(proxy)).flat_map(|proxy| &proxy.rates).sum()
         };
@@ -604,11 +625,11 @@
     /// lines hold: steps would hold load on a cold endpoint. No table goes empty.
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64, ramping: &[bool], piling: bool) {
         let least = LEAST_LINE / targets.iter().filter(|target| **target > 0.0).count().max(1) as f64;
+        let failing = (0..targets.len()).map(|e| targets[e] * self.fleet.failed_part(e)).sum::<f64>();
+        let piling = piling || (self.site.keep_away && failing > PILING);
         let Table { weight, sent, .. } = &mut self.tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
-        let failing = (0..targets.len()).map(|e| targets[e] * self.fleet.failed_part(e));
-        let piling = piling || failing.sum::<f64>() > PILING;
         let (mut held, mut aimed) = (0.0, 0.0);
         let steady = |e: usize, weight: f64| weight > 0.0 && !ramping[e] && targets[e] >= least;
         for (e, weight) in weight.iter_mut().enumerate().filter(|(e, weight)| steady(*e, **weight)) {
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -57,6 +57,7 @@
         lines_per_second: 10_000.0,
         waiting_lines: 10_000.0,
         lines_per_message: 4.0,
+        keep_away: false,
         standing: 0,
         messages: Some(12),
         messages_span: Duration::from_secs(10),
