Rare callers' demand is read without bias: silence past a report's span counts

Two causes, both in came(): each report was averaged by itself, and spans end with a call; and reports span five to six rounds at most, whatever the silence (12.0 s told as 5.47, 10.0 s as 5.86). Ruled out: repeats by clients (tries/r 1.00), late reports (lateness steady), hello's figures (their sum was right: 234). Change: calls and spans are averaged apart; past four rounds the time since the last report holds. Story over 300 seeded proxies.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -207,8 +207,8 @@
 
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
         let pool = self.lightest_pool(if self.homes > 1 { zone.0 as usize } else { 0 });
-        self.follow_proxies(|p| p.enrol(proxy, pool, usual_rate));
         self.now = now;
+        self.follow_proxies(|p| p.enrol(proxy, pool, usual_rate));
         self.recast |= (0..self.fleet.len()).any(|e| self.fleet.usable(e) && self.ramping(e));
         self.settle(now)
     }
@@ -233,12 +233,20 @@
         self.last_heard = Some(now);
         if let Some(known) = self.proxies.get_mut(&proxy) {
             known.heard = true;
-            let rate = &mut known.rates[class.0 as usize];
-            let span = came.span.as_secs_f64().max(LEAST_SPAN);
-            // Or rare calls would pass for many: none, no report. Where few were due, one tells less.
-            let rounds = came.span.max(self.site.round).div_duration_f64(self.site.round);
-            let tells = rounds * (*rate * span).max(1.0) / (*rate * span + 1.0);
-            *rate += (1.0 - (1.0 - DEMAND_GAIN).powf(tells)) * (came.calls / span - *rate);
+            // A long silence is told of in part only: no report, no call.
+            let (c, since) = (class.0 as usize, now.saturating_sub(known.told_at[class.0 as usize]));
+            let span = if came.span > self.site.round * STANDS { came.span.max(since) } else { came.span };
+            let span = span.as_secs_f64().max(LEAST_SPAN);
+            known.told_at[c] = now;
+            // Few calls, come or due, tell little, and count the less. A rare one ends the span that is told of: with
+            // none there is no report. So spans read short, and the mean rate of a few of them too high by this much.
+            let told = came.calls.max(known.rates[c] * span).max(1.0);
+            let gain = DEMAND_GAIN * told / (told + 1.0);
+            known.calls[c] += gain * (came.calls - known.calls[c]);
+            known.spans[c] += gain * (span - known.spans[c]);
+            let often = (self.site.round.as_secs_f64() / known.spans[c]).min(1.0);
+            let over = 1.0 + (1.0 - often) * gain / (2.0 - gain);
+            known.rates[c] = known.calls[c] / known.spans[c] / over;
             known.usual += USUAL_GAIN * (known.rates.iter().sum::<f64>() - known.usual);
         }
         self.settle(now)
--- a/src/state.rs
+++ b/src/state.rs
@@ -267,8 +267,12 @@
     pub bound: bool,
     /// Reported on since it joined.
     pub heard: bool,
-    /// Calls a second by class.
+    /// Calls a second by class, and the calls and seconds of a report that they come of.
     pub rates: Vec<f64>,
+    pub calls: Vec<f64>,
+    pub spans: Vec<f64>,
+    /// When each class was last reported on; at first, when it joined.
+    pub told_at: Vec<Duration>,
     /// Of all classes, followed slowly.
     pub usual: f64,
     /// When it was sent messages of late.
@@ -276,8 +280,12 @@
 }
 
 impl Proxy {
-    pub fn new(pool: usize, rates: Vec<f64>, usual: f64) -> Self {
-        Proxy { pool, left: None, bound: false, heard: false, rates, usual, messages: VecDeque::new() }
+    /// What it usually brings stands for a report of one round.
+    pub fn new(pool: usize, rates: Vec<f64>, usual: f64, (now, round): (Duration, Duration)) -> Self {
+        let (span, told_at) = (round.as_secs_f64(), vec![now; rates.len()]);
+        let (calls, spans) = (rates.iter().map(|rate| rate * span).collect(), vec![span; rates.len()]);
+        let (left, bound, heard, messages) = (None, false, false, VecDeque::new());
+        Proxy { pool, left, bound, heard, rates, calls, spans, told_at, usual, messages }
     }
 
     pub fn messages_since(&self, start: Duration) -> usize {
@@ -592,10 +600,12 @@
     /// A proxy that is still remembered keeps its pool and what is known of its calls.
     pub(crate) fn enrol(&mut self, id: ProxyId, pool: usize, rate: f64) {
         let classes = self.site.classes.len();
-        let fresh = Proxy::new(pool, vec![rate / classes as f64; classes], rate);
+        let round = (self.now, self.site.round);
+        let fresh = Proxy::new(pool, vec![rate / classes as f64; classes], rate, round);
         let joining = match self.proxies.remove(&id) {
             Some(known) => {
-                Proxy { left: None, bound: false, heard: false, messages: fresh.messages, ..known }
+                let Proxy { left, bound, heard, told_at, messages, .. } = fresh;
+                Proxy { left, bound, heard, told_at, messages, ..known }
             }
             None => fresh,
         };
@@ -634,8 +644,8 @@
         &self.tables[pool * self.groups.len()..][..self.groups.len()]
     }
 
-    /// Calls a second of all proxies.
-    pub(crate) fn brought(&self) -> f64 {
+    /// Calls a second of all proxies, as far as is known.
+    pub fn brought(&self) -> f64 {
         self.proxies.values().flat_map(|proxy| &proxy.rates).sum()
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -9,6 +9,8 @@
 
 use dahliaroad::interface::*;
 use host::{Host, MS, Second, deployment, listed, whole_fleet};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const CALM: fn(u32) -> Option<Second> = |e| (e < 6).then_some((10.0, 0.0, 0.5));
 
@@ -257,6 +259,29 @@
     assert!(host.levels.values().all(|(level, _)| *level == 1.0), "{:?}", host.levels);
 }
 
+/// Reports come with a call only, and tell of five silent seconds at most.
+#[test]
+fn many_proxies_that_seldom_call_are_not_taken_for_more_than_they_bring() {
+    const EACH: f64 = 0.2;
+    let site = Deployment { proxies: 300, ..deployment() };
+    let mut host = Host::started(site, 6, (0..300).map(|proxy| proxy % 2));
+    let mut chance = ChaCha8Rng::seed_from_u64(29);
+    let (mut told, mut seen) = (vec![[0; 2]; 300], Vec::new());
+    for second in 1..=60 {
+        host.quiet(10);
+        for (proxy, class) in (0..300).flat_map(|proxy| [(proxy, 0), (proxy, 1)]) {
+            if chance.random_bool(EACH) {
+                let last = std::mem::replace(&mut told[proxy][class], second);
+                host.span = 1000 * MS * (second - last).min(5);
+                host.bring(proxy as u32, class as u32, 1.0);
+            }
+        }
+        seen.push(host.pilot.brought() / (300.0 * 2.0 * EACH));
+    }
+    let late = seen[30..].iter().sum::<f64>() / 30.0;
+    assert!((0.95..1.15).contains(&late), "{late} of what comes");
+}
+
 #[test]
 fn a_report_over_many_rounds_counts_as_many_and_rare_calls_do_not_pass_for_many() {
     let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
