Comers stay out of tables in a jam while the tries made still rise

Seen, five pilots, seconds 14 to 18: n3 13.8 s tries 386 fail 0.33 | 14.8 s 441 0.27 | 15.8 s 485 0.47 | 16.8 s 834 0.66 | 17.8 s 1196 0.76, 60 endpoints ramping n1 13.1 s tries 172 fail 0.03 | 14.1 s 277 0.32 | 16.1 s 347 0.29 | 17.1 s 584 0.71 | 18.0 s 992 0.83 Clients came again and every full endpoint's calls went on to another; tries doubled within the two seconds that sums are late, so what ease() counts was a third of what came. The fault is: it dropped the failing quarter's guard, which had been met in time (0.27 to 0.47 before a line went out), for every state in which proxies keep away from nothing. Change: the guard holds while tries rise by a fifth over their average and four rounds after (as long as sums stand).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -331,6 +331,9 @@
         let tries = good + failed;
         self.state.handled += STATE_GAIN * (good - self.state.handled);
         self.state.failing = failed / tries.max(f64::MIN_POSITIVE);
+        if tries > (1.0 + STEP) * self.state.tries {
+            self.surge_until = self.now + self.site.round * STANDS;
+        }
         self.state.tries = tries.max(self.state.tries + STATE_GAIN * (tries - self.state.tries));
         for (e, fresh) in heard.into_iter().enumerate() {
             let (ramping, fleet) = (self.ramping(e), &mut self.fleet);
@@ -606,6 +609,10 @@
         }
     }
 
+    fn may_pile(&self) -> bool {
+        self.site.keep_away || self.now < self.surge_until
+    }
+
     /// By how much second tries may swell a line of a table: what fails goes on by weight to the other lines.
     fn swell(&self, weights: &[f64]) -> f64 {
         let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
@@ -616,10 +623,11 @@
         1.0 + weights.iter().enumerate().map(again).sum::<f64>()
     }
 
-    /// Where proxies keep away by themselves from what fails, many failing tries pile onto whatever still answers,
-    /// whatever its share. So it may be with proxies back but not heard since, and in a single table.
+    /// When many tries fail, further tries and proxies' own avoidance pile onto whatever still answers, whatever its
+    /// share. So it may be with proxies back but not heard since, and in a single table. Where proxies keep away from
+    /// nothing, that is over once the tries made rise no more: what comes then is what the sums tell.
     fn piling(&self) -> bool {
-        if !self.site.keep_away {
+        if !self.may_pile() {
             return false;
         }
         let part = |pick: fn(&Proxy) -> bool| -> f64 {
@@ -634,7 +642,7 @@
     fn step_table(&mut self, table: usize, targets: &[f64], step: f64, ramping: &[bool], piling: bool) {
         let least = LEAST_LINE / targets.iter().filter(|target| **target > 0.0).count().max(1) as f64;
         let failing = (0..targets.len()).map(|e| targets[e] * self.fleet.failed_part(e)).sum::<f64>();
-        let piling = piling || (self.site.keep_away && failing > PILING);
+        let piling = piling || (self.may_pile() && failing > PILING);
         let Table { weight, sent, .. } = &mut self.tables[table];
         weight.resize(targets.len(), 0.0);
         sent.resize(targets.len(), 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -410,6 +410,8 @@
     pub(crate) state: State,
     /// Until when endpoints are taken to be short of connections.
     pub(crate) crowded_until: Duration,
+    /// Until when more tries are made than sums have told of yet.
+    pub(crate) surge_until: Duration,
     /// By class: the part that is let in.
     pub(crate) levels: Vec<f64>,
     /// By class: what proxies are to be told.
@@ -439,6 +441,7 @@
             tables: vec![Table { told: told.clone(), ..Table::default() }; homes * groups.len()],
             state: State::default(),
             crowded_until: Duration::ZERO,
+            surge_until: Duration::ZERO,
             levels: vec![1.0; told.len()],
             telling: told,
             homes,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -118,18 +118,18 @@
 }
 
 #[test]
-fn where_proxies_keep_away_from_nothing_comers_help_in_a_jam() {
-    let jammed = |e: u32| (e < 6).then_some((10.0, 4.0, 0.9));
-    let comers = |failing: fn(u32) -> Option<Second>| {
+fn where_proxies_keep_away_from_nothing_comers_help_in_a_jam_but_not_while_tries_still_rise() {
+    let comers = |jam: fn(u32) -> Option<Second>| {
         let mut host = Host::running(Deployment { probes_allowed: false, ..deployment() }, 6);
         host.seconds(10, 15.0, CALM);
         let come: Vec<Listed> = (6..12).map(|e| Listed { started: Some(host.now), ..listed(e, 0) }).collect();
         host.list(false, &come);
-        host.seconds(3, 15.0, failing);
+        host.seconds(3, 15.0, jam);
         (6..12).map(|e| host.share(0, e)).sum::<f64>()
     };
-    let (calm, jam) = (comers(CALM), comers(jammed));
-    assert!(calm > 0.2 && jam > 0.2, "{calm} {jam}");
+    let jam = comers(|e| (e < 6).then_some((10.0, 4.0, 0.9)));
+    let surge = comers(|e| (e < 6).then_some((20.0, 8.0, 0.9)));
+    assert!(comers(CALM) > 0.2 && jam > 0.2 && surge == 0.0, "{jam} {surge}");
 }
 
 #[test]
