--- a/src/policy.rs
+++ b/src/policy.rs
@@ -345,6 +345,11 @@
             }
             fleet.recent[e] = fleet.recent[e] * FADE + good + failed;
             fleet.recent_failed[e] = fleet.recent_failed[e] * FADE + failed;
+            if good > 0.0 && ramping {
+                let busy = fleet.reported[e].unwrap_or(1.0);
+                fleet.rising[e] += FADE * (good - fleet.rising[e]);
+                fleet.rising_busy[e] += FADE * (busy - fleet.rising_busy[e]);
+            }
             if good > 0.0 && !ramping {
                 let time = (fleet.time[e] / good).max(f64::MIN_POSITIVE);
                 fleet.rounds[e] = (fleet.rounds[e] + 1.0).min(ROUNDS);
@@ -372,25 +377,26 @@
     }
 
     fn ramping(&self, e: usize) -> bool {
-        self.age(e) < self.site.warm_up || self.ramp(e) < 1.0
+        self.age(e) < self.site.warm_up || self.ramp(e, 0.0) < 1.0
     }
 
-    /// Doubling from a quarter as in the design, but within the slowest warm-up or, in a calm fleet, well
-    /// under the fall multiple: most are faster.
-    fn ramp(&self, e: usize) -> f64 {
+    /// Doubling from a quarter as in the design, but within the slowest warm-up or, in a calm fleet, well under the
+    /// fall multiple: most are faster. One whose reports show that it can do more gets that, up to what even the
+    /// slowest would not fall over at, should the reports lie.
+    fn ramp(&self, e: usize, shown: f64) -> f64 {
         let warm = (self.age(e).as_secs_f64() / self.site.warm_up.as_secs_f64().max(LEAST_SPAN)).min(1.0);
         let slowest = self.site.start_capacity + (1.0 - self.site.start_capacity) * warm;
         let spare = if self.calm() { (self.site.fall_multiple / FALL_MARGIN).max(1.0) } else { 1.0 };
         let since = |at: Duration| self.now.saturating_sub(at).div_duration_f64(self.site.round);
         let rounds = self.fleet.admitted[e].map_or(f64::INFINITY, since);
-        (slowest * spare).min(FIRST_PART * rounds.floor().exp2()).min(1.0)
+        let borne_out = shown.min(slowest * self.site.fall_multiple * CAUTION);
+        (slowest * spare).max(borne_out).min(FIRST_PART * rounds.floor().exp2()).min(1.0)
     }
 
     fn estimate_capacity(&mut self) {
         let (average, by_kind) = self.fleet.mean_capacities();
         for e in 0..self.fleet.len() {
             let fleet = &self.fleet;
-            let part = if fleet.usable(e) { self.ramp(e) } else { 0.0 };
             // Probes may never confirm (shallow ones meet no errors): the part it answers is all it gets.
             let answered = if fleet.suspected(e) && !self.crowded() { 1.0 - fleet.failing(e) } else { 1.0 };
             let full = average.map_or(fleet.weight[e], |all| {
@@ -400,6 +406,8 @@
                 let heard = if n > 0.0 { fleet.rate[e] / fleet.busy[e] } else { usual };
                 ((n * heard + (ROUNDS - n) * usual) / ROUNDS).clamp(all / SPREAD, all * SPREAD)
             });
+            let shown = fleet.rising[e] / fleet.rising_busy[e].max(LEAST_BUSY);
+            let part = if fleet.usable(e) { self.ramp(e, shown / full.max(f64::MIN_POSITIVE)) } else { 0.0 };
             self.fleet.capacity[e] = full * part * answered.max(LEAST_TRUST);
         }
     }
@@ -410,13 +418,18 @@
         let (classes, fleet) = (&self.site.classes, &self.fleet);
         let rates: Vec<f64> = (0..classes.len()).map(|class| self.rates_of(class).iter().sum()).collect();
         let capacity: f64 = fleet.capacity.iter().sum();
-        let load = rates.iter().sum::<f64>().min(self.state.tries) / capacity.max(f64::MIN_POSITIVE);
         let said = (0..fleet.len()).filter_map(|e| Some((fleet.capacity[e], fleet.reported[e]?)));
+        let brought = rates.iter().sum::<f64>().min(self.state.tries);
+        let load = brought / capacity.max(f64::MIN_POSITIVE);
         self.state.heat += STATE_GAIN * (weighted_mean(said).unwrap_or(load) - self.state.heat);
-        let pressed = self.state.heat > TARGET || (self.state.failing > PILING / 2.0 && !self.crowded());
-        let over = (self.shedding() && !self.crowded()) || (load > TARGET && pressed);
         let shown = self.state.handled / self.state.heat.max(LEAST_BUSY);
-        let mut room = if over { TARGET * capacity.max(shown) } else { f64::INFINITY };
+        // Averages are late: where endpoints are hotter by more than a level's step, there is what they show, no more.
+        let hot = self.state.heat > TARGET * (1.0 + LEVEL_STEP);
+        let there = if hot { shown } else { capacity.max(shown) };
+        let pressed = self.state.heat > TARGET || (self.state.failing > PILING / 2.0 && !self.crowded());
+        let over =
+            (self.shedding() && !self.crowded()) || (brought > TARGET * there.min(capacity) && pressed);
+        let mut room = if over { TARGET * there } else { f64::INFINITY };
         let worth = |c: usize| classes[c].value / classes[c].latency_goal.as_secs_f64().max(LEAST_SPAN);
         let mut order: Vec<usize> = (0..classes.len()).collect();
         order.sort_by(|&x, &y| worth(y).total_cmp(&worth(x)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,6 +120,9 @@
     pub busy: Vec<f64>,
     pub rounds: Vec<f64>,
     pub capacity: Vec<f64>,
+    /// Good answers a second and busy fraction since it was let in, while it ramps; younger rounds weigh more.
+    pub rising: Vec<f64>,
+    pub rising_busy: Vec<f64>,
     /// Tries and failures of late, older rounds fading.
     pub recent: Vec<f64>,
     pub recent_failed: Vec<f64>,
@@ -167,7 +170,8 @@
         let round = [&mut self.good, &mut self.failed, &mut self.time, &mut self.strikes];
         let means = [&mut self.rate, &mut self.busy, &mut self.rounds, &mut self.capacity];
         let others = [&mut self.pace, &mut self.recent, &mut self.recent_failed, &mut self.weight];
-        for figures in round.into_iter().chain(means).chain(others) {
+        let rising = [&mut self.rising, &mut self.rising_busy];
+        for figures in round.into_iter().chain(means).chain(others).chain(rising) {
             lay(figures, how, 0.0);
         }
     }
@@ -189,7 +193,7 @@
             let open = entry.phase == Phase::Running;
             let new = self.weight[e] == 0.0;
             if open && !first && (new || entry.started != self.started[e]) {
-                self.admitted[e] = Some(now);
+                self.admit(e, now);
             }
             let home = if homes > 1 { entry.zone.0 as usize } else { 0 };
             if new {
@@ -204,6 +208,11 @@
         }
     }
 
+    /// What it showed before says nothing of it now.
+    fn admit(&mut self, e: usize, now: Duration) {
+        (self.admitted[e], self.rising[e], self.rising_busy[e]) = (Some(now), 0.0, 0.0);
+    }
+
     fn drop_from_list(&mut self, now: Duration, e: usize, binds: bool) {
         self.gone[e] = self.gone[e].or(Some(now));
         let stays = !binds && self.open[e];
@@ -639,7 +648,8 @@
 
     pub(crate) fn let_in(&mut self, e: usize, _: &mut Orders) {
         let fleet = &mut self.fleet;
-        (fleet.out[e], fleet.admitted[e], fleet.strikes[e]) = (false, Some(self.now), 0.0);
+        fleet.admit(e, self.now);
+        (fleet.out[e], fleet.strikes[e]) = (false, 0.0);
         (fleet.recent[e], fleet.recent_failed[e], self.recast) = (0.0, 0.0, true);
     }
 
