What the platform's list once said drains stays so, though an old list has it running

Found by reading: a whole list with a lower version counts as another history (discovery.rs), and words of the platform's source went through as they came (Returns::AsTold), so that an agent that goes over to an old list has drained processes running again, in the tables of all its proxies. Change: the platform's source is UnlessDrained: it may drop and relist what lives on, but a life (name and start) that it said drains stays drained while listed and dead once gone; a later start is a new life.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -238,8 +238,8 @@
         name: &Arc<str>,
         mut entry: Entry,
     ) {
-        let told = self.sources[from.0 as usize].terms.returns == Returns::AsTold;
-        if told {
+        let returns = self.sources[from.0 as usize].terms.returns;
+        if returns == Returns::AsTold {
             let seen = self.seen.entry(name.clone()).or_default();
             seen.by.insert(from, Listing { epoch, at, entry, barred: false });
             return;
@@ -276,10 +276,15 @@
     fn drop_from(&mut self, now: Duration, from: SourceId, name: &Arc<str>) {
         let Some(seen) = self.seen.get_mut(name) else { return };
         let Some(listing) = seen.by.remove(&from) else { return };
-        if listing.barred || self.sources[from.0 as usize].terms.returns == Returns::AsTold {
+        let drained = listing.entry.standing == Standing::Draining;
+        let ends = match self.sources[from.0 as usize].terms.returns {
+            Returns::AsTold => false,
+            Returns::UnlessDrained => drained,
+            Returns::InNewLife => true,
+        };
+        if listing.barred || !ends {
             return;
         }
-        let drained = listing.entry.standing == Standing::Draining;
         let death = Death { source: from, epoch: listing.epoch, life: listing.entry.life, drained };
         for (other, listing) in &mut seen.by {
             let strict = self.sources[other.0 as usize].terms.returns == Returns::InNewLife;
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -146,6 +146,8 @@
 pub enum Returns {
     /// The source drops and relists what lives on, and its last word holds.
     AsTold,
+    /// So it does, but a life that it said drains is never sent anything again, though an old list has it running.
+    UnlessDrained,
     /// Only a new life comes back.
     InNewLife,
 }
@@ -164,9 +166,9 @@
         SourceTerms { name: name.to_owned(), returns: Returns::InNewLife, pace: Some(Pace::default()) }
     }
 
-    /// One whose words go through as they are.
+    /// One whose words go through as they come.
     pub fn direct(name: &str) -> SourceTerms {
-        SourceTerms { name: name.to_owned(), returns: Returns::AsTold, pace: None }
+        SourceTerms { name: name.to_owned(), returns: Returns::UnlessDrained, pace: None }
     }
 }
 
--- a/crates/fleet/tests/stories.rs
+++ b/crates/fleet/tests/stories.rs
@@ -322,3 +322,24 @@
     }
     assert_eq!(fleet.hand(NOW), None);
 }
+
+#[test]
+fn an_old_list_of_the_platforms_does_not_bring_a_drained_life_back_but_a_new_life_comes() {
+    let mut fleet = Fleet::new(Bounds::default());
+    let source = fleet.add(SourceTerms::direct("discovery"));
+    let handed = |heard: Heard| heard.handover.unwrap().entries[0].entry.clone().map(|entry| entry.standing);
+    fleet.hear(NOW, source, whole(0, 5, vec![runs("a", 0, 0)]));
+    fleet.hear(
+        NOW,
+        source,
+        changes(0, 6, 6, vec![told("a", 6, What::Listed(entry(0, 0, Standing::Draining)))]),
+    );
+    // The agent went over to one that is behind.
+    let old = fleet.hear(NOW, source, whole(1, 5, vec![runs("a", 0, 0)]));
+    assert_eq!(handed(old), Some(Standing::Draining));
+    fleet.hear(NOW, source, changes(1, 7, 7, vec![told("a", 7, What::Gone)]));
+    let old = fleet.hear(NOW, source, whole(2, 5, vec![runs("a", 0, 0)]));
+    assert_eq!(handed(old), None);
+    let new = fleet.hear(NOW, source, changes(2, 8, 8, vec![runs("a", 7_000, 0)]));
+    assert_eq!(handed(new), Some(Standing::Running));
+}
