Signals are heard from the first moment; an address still held is waited for

Seen by reading: the handlers were set after the configuration had been read, so SIGHUP or USR1 in between killed the pilot (serve); a listening address that the process before still held ended the start (bind, no second try); while USR1 waited for a full inbox SIGTERM waited too; SIGHUP with another deployment's file moved discovery and relay to its addresses and only logged that the settings differ (renew). Now: handlers stand before any file is read; the address is tried for 20 s, which SIGTERM ends; a file whose pilot's name, zones, models or classes differ is refused whole, as its endpoints and proxies are none of ours; classes or zones without a name or named twice end the start with the field, as peers speak of them by name alone.

--- a/crates/pilot/src/commands.rs
+++ b/crates/pilot/src/commands.rs
@@ -305,7 +305,7 @@
 }
 
 /// Runs the program's work to its end. What peers still owe then is not waited for.
-pub fn on_one_thread(work: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+pub fn on_one_thread<T>(work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let ended = LocalSet::new().block_on(&runtime, work);
     runtime.shutdown_timeout(Duration::ZERO);
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -15,6 +15,7 @@
 use std::io;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use commands::{Command, Words};
 use dahliaroad::Pilot;
@@ -25,17 +26,23 @@
 use discovery::Watch;
 use lists::ListMessage;
 use logging::Form;
+use pause::Pause;
 use rand::RngCore;
 use relay::Outbox;
 use sources::{Sources, Tallies};
 use start::{Renewal, Start};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinError, JoinSet};
+use tokio::time::Instant;
 
 /// Probes that may wait to be sent.
 const PROBES_WAITING: usize = 1024;
+/// Between tries for the listening address, and for how long: a pilot has 30 s to be ready.
+const FIRST_BIND: Duration = Duration::from_millis(20);
+const LONGEST_BIND: Duration = Duration::from_millis(320);
+const BIND_WITHIN: Duration = Duration::from_secs(20);
 
 /// What ended the program when no one asked for it: no task ever ends by itself.
 fn ended(task: Option<Result<(), JoinError>>) -> io::Error {
@@ -57,16 +64,62 @@
     answered.await.unwrap_or(Verdict::Taken)
 }
 
-async fn serve(start: Start, words: &Words, options: &Options) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut ask = signal(SignalKind::user_defined1())?;
-    let mut renew = signal(SignalKind::hangup())?;
+/// What the platform may ask of the program, from its first moment on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    ask: Signal,
+    renew: Signal,
+}
+
+impl Signals {
+    fn take() -> io::Result<Signals> {
+        let [terminate, interrupt, ask, renew] = [
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+            signal(SignalKind::user_defined1())?,
+            signal(SignalKind::hangup())?,
+        ];
+        Ok(Signals { terminate, interrupt, ask, renew })
+    }
+
+    /// It is told to end.
+    async fn end(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// The process before this one may still be on its way out, and hold the address.
+async fn listen(start: &Start) -> io::Result<TcpListener> {
+    let (mut pause, until) =
+        (Pause::new(FIRST_BIND, LONGEST_BIND, start.chance(5)), Instant::now() + BIND_WITHIN);
+    let mut told = false;
+    loop {
+        match TcpListener::bind(start.listen).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                if !std::mem::replace(&mut told, true) {
+                    tracing::warn!("{}: {error}; tried again", start.listen);
+                }
+                pause.take().await;
+            }
+            bound => return bound.map_err(|error| io::Error::other(format!("{}: {error}", start.listen))),
+        }
+    }
+}
+
+async fn serve(start: Start, words: &Words, options: &Options, signals: &mut Signals) -> io::Result<()> {
     let mut fleet = Fleet::new(sources::bounds(&options.fleet));
     let platform = (!options.without_discovery).then(|| fleet.add(SourceTerms::direct("discovery")));
     let mut sources = Sources::add(options, &mut fleet).map_err(io::Error::other)?;
     let plans = std::mem::take(&mut sources.plans);
-    let listener = TcpListener::bind(start.listen).await?;
+    let listener = tokio::select! {
+        biased;
+        () = signals.end() => return Ok(()),
+        listener = listen(&start) => listener?,
+    };
     tracing::info!("{} listens on {}", start.name, listener.local_addr()?);
     let [calls_chance, news_chance, watch_chance, mut stamps] = [1, 2, 3, 4].map(|task| start.chance(task));
     let renewal = Renewal::of(&start, words, sources);
@@ -88,7 +141,7 @@
         let watch = Watch::new(renewal.discovery(), places, desk.clone(), source, base, watch_chance);
         // What was last known of the list stands until discovery has answered.
         if let Some(known) = known {
-            watch.route(known).await;
+            watch.route(&known).await;
         }
         tasks.spawn_local(watch.follow());
     }
@@ -104,18 +157,25 @@
     let terms = collectors::Terms { zones, classes: classes.clone(), proxies };
     tasks.spawn_local(collectors::listen(listener, terms, limits, desk.clone()));
     loop {
+        let Signals { terminate, interrupt, ask, renew } = signals;
         tokio::select! {
+            biased;
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
             _ = ask.recv() => {
                 tracing::info!("{}", counters::line());
                 let classes = classes.clone();
-                desk.tell(Box::new(move |seat, now| {
+                let told = desk.tell(Box::new(move |seat, now| {
                     seat.tell_sources(now);
                     seat.tell_levels(&classes);
                     Orders::default()
-                }))
-                .await;
+                }));
+                // A full inbox keeps nobody from ending the program.
+                tokio::select! {
+                    biased;
+                    () = signals.end() => return Ok(()),
+                    () = told => {}
+                }
             }
             _ = renew.recv() => renewal.renew(),
             task = tasks.join_next() => return Err(ended(task)),
@@ -123,13 +183,14 @@
     }
 }
 
-/// Serves as a pilot until it is told to end.
-fn pilot(words: &Words) -> ExitCode {
+/// Reads what it is started with, and serves. Signals are heard before: one that comes while a file is read is kept.
+async fn begin(words: &Words) -> io::Result<ExitCode> {
+    let mut signals = Signals::take()?;
     let options = match commands::options(words.options.as_deref()) {
         Ok(options) => options,
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("dahliaroad: options: {fault}"));
-            return ExitCode::FAILURE;
+            return Ok(ExitCode::FAILURE);
         }
     };
     logging::start(words.log.unwrap_or(if options.log_json { Form::Json } else { Form::Text }));
@@ -137,12 +198,17 @@
         Ok(start) => start,
         Err(error) => {
             eprintln!("dahliaroad: configuration: {error}");
-            return ExitCode::FAILURE;
+            return Ok(ExitCode::FAILURE);
         }
     };
-    let ended = commands::on_one_thread(serve(start, words, &options));
+    let ended = serve(start, words, &options, &mut signals).await;
     tracing::info!("{}", counters::line());
-    commands::exit_of(ended)
+    ended.map(|()| ExitCode::SUCCESS)
+}
+
+/// Serves as a pilot until it is told to end.
+fn pilot(words: &Words) -> ExitCode {
+    commands::on_one_thread(begin(words)).unwrap_or_else(|error| commands::exit_of(Err(error)))
 }
 
 fn main() -> ExitCode {
--- a/crates/pilot/src/start.rs
+++ b/crates/pilot/src/start.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// Peers speak of them by name alone: one without a name, or two of one, would be taken for each other.
+fn distinct(field: &str, names: &[String]) -> Result<(), String> {
+    let unfit = |(place, name): &(usize, &String)| name.is_empty() || names[..*place].contains(name);
+    let unfit = names.iter().enumerate().find(unfit);
+    unfit.map_or(Ok(()), |(_, name)| {
+        Err(format!("settings: field '{field}' has {name:?} twice, or a name missing"))
+    })
+}
+
 #[derive(Deserialize)]
 struct Store {
     address: SocketAddr,
@@ -76,6 +85,17 @@
 }
 
 impl Start {
+    /// Whose file this is: another's addresses lead to endpoints and proxies that are none of ours.
+    fn identity(&self) -> [(&'static str, &[String]); 4] {
+        let Opening { zones, kinds, classes, .. } = &self.opening;
+        [
+            ("name", std::slice::from_ref(&self.name)),
+            ("zones", zones),
+            ("models", kinds),
+            ("classes", classes),
+        ]
+    }
+
     /// Where `ROUTER_CONFIG` points to, or the words the program was started with.
     pub fn read(path: Option<&Path>) -> Result<Start, String> {
         let path = path.ok_or("ROUTER_CONFIG names no file")?;
@@ -87,6 +107,8 @@
         let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|error| format!("seed: {error}"))?;
         let opening = opening(Fields::of("settings", &file.settings)?)?;
+        distinct("zones", &opening.zones)?;
+        distinct("classes", &opening.classes)?;
         let limits = Limits::of(file.limits.as_ref())?;
         let fixed = vec![
             ("name", file.name.clone().into()),
@@ -148,6 +170,7 @@
     discovery: watch::Sender<SocketAddr>,
     relay: watch::Sender<SocketAddr>,
     fixed: Vec<(&'static str, Value)>,
+    identity: Vec<(&'static str, Vec<String>)>,
     path: Option<PathBuf>,
     options: Option<PathBuf>,
     sources: Sources,
@@ -157,7 +180,8 @@
     pub fn of(start: &Start, words: &Words, sources: Sources) -> Renewal {
         let (discovery, relay) = (watch::Sender::new(start.discovery), watch::Sender::new(start.relay));
         let (path, options) = (words.config.clone(), words.options.clone());
-        Renewal { discovery, relay, fixed: start.fixed.clone(), path, options, sources }
+        let identity = start.identity().map(|(what, names)| (what, names.to_vec())).into();
+        Renewal { discovery, relay, fixed: start.fixed.clone(), identity, path, options, sources }
     }
 
     pub fn discovery(&self) -> Address {
@@ -168,10 +192,20 @@
         Address(self.relay.subscribe())
     }
 
+    fn ours(&self, new: Start) -> Result<Start, String> {
+        let pairs = self.identity.iter().zip(new.identity());
+        let other = pairs.into_iter().find(|((_, is), (_, wanted))| is[..] != **wanted);
+        match other {
+            None => Ok(new),
+            Some(((what, _), _)) => Err(format!("another deployment's: its {what} are not this pilot's")),
+        }
+    }
+
     /// The files are read anew, and whole, before anything is given up: a bad one changes nothing.
     pub fn renew(&self) {
         let options = commands::options(self.options.as_deref()).map_err(|faults| faults.join("; "));
-        let new = Start::read(self.path.as_deref()).and_then(|new| Ok((new, options?)));
+        let new = Start::read(self.path.as_deref()).and_then(|new| self.ours(new));
+        let new = new.and_then(|new| Ok((new, options?)));
         let (new, options) = match new {
             Ok(new) => new,
             Err(error) => {
