A spoilt entry costs itself alone; an agent that brings nothing is asked with pauses

Seen by reading: an entry that could not be admitted was left out of a whole list, so that the fleet took its endpoint for gone, and in changes the version moved on over it, maybe over a drain (lists.rs, admit); each answer reset the pause, so an agent that answers at once with nothing was asked without end (discovery.rs, hear); a move asked the new agent for what came after our version, though its history may be another of the same length; what the old agent had written while the new link came up was dropped with the link; an old agent that answers often began the move anew each time; a body could end 4.8 s after the question, where the protocol counts it as told at 4. Now: such an entry is told as unreadable and what was known stands; without even a name nobody missing is gone; the whole is asked for again, 50 ms to 30 s apart. The new address tells its whole list before the old one goes.

--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of endpoints: fetched whole, then followed by a watch that never stands still.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::counters;
 use crate::lists::ListMessage;
@@ -23,7 +24,7 @@
 /// The agent is on this machine: what is not there by then is not coming.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 const ANSWER_WITHIN: Duration = Duration::from_millis(800);
-/// A long list may come in pieces.
+/// A long list may come in pieces; what a watch does not end by then, after its wait, counts as told.
 const LIST_WITHIN: Duration = Duration::from_millis(2000);
 /// A watch that has gone silent is found out at its end, so a short one costs least: it is free of charge, and
 /// found out before its news counts as told.
@@ -31,6 +32,10 @@
 /// The first pause is short, as a watch goes on only where the next follows within 200 ms.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Between rereads of what could not be read; an entry that never can be is not asked for without end.
+const LONGEST_DOUBT: Duration = Duration::from_secs(30);
+/// No wait at all would be a question without a watch.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
 /// Far more than any list of endpoints needs.
 const LONGEST: usize = 8 << 20;
 type Res<T> = Result<T, String>;
@@ -51,17 +56,44 @@
     Ok(Link { address, sender })
 }
 
-async fn get(link: &mut Link, path: &str, wait: Duration) -> Res<ListMessage> {
-    let call = Request::get(path).header(header::HOST, link.address.to_string()).body(Empty::new());
-    let call = call.map_err(|error| error.to_string())?;
-    let answer = timeout(wait + ANSWER_WITHIN, link.sender.send_request(call)).await;
-    let answer = answer.map_err(|_| "no answer in time")?.map_err(|error| error.to_string())?;
-    if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
+/// One question for the list.
+struct Question {
+    path: String,
+    /// How long the agent may wait before it answers.
+    wait: Duration,
+}
+
+impl Question {
+    fn whole() -> Question {
+        Question { path: "/registry/instances".to_owned(), wait: Duration::ZERO }
+    }
+
+    fn watch(seq: u64, wait: Duration) -> Question {
+        let path = format!("/registry/instances?after={seq}&wait_ms={}", wait.as_millis());
+        Question { path, wait }
     }
-    let body = timeout(LIST_WITHIN, Limited::new(answer.into_body(), LONGEST).collect()).await;
-    let body = body.map_err(|_| "no end of the list in time")?.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+
+    async fn ask(&self, link: &mut Link) -> Res<ListMessage> {
+        // To the end of what it says: what is withheld for longer counts as told.
+        let end = Instant::now() + self.wait + LIST_WITHIN;
+        let call = Request::get(&self.path).header(header::HOST, link.address.to_string()).body(Empty::new());
+        let call = call.map_err(|error| error.to_string())?;
+        let answer = timeout(self.wait + ANSWER_WITHIN, link.sender.send_request(call)).await;
+        let answer = answer.map_err(|_| "no answer in time")?.map_err(|error| error.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        let body = timeout_at(end, Limited::new(answer.into_body(), LONGEST).collect()).await;
+        let body = body.map_err(|_| "no end of the list in time")?.map_err(|error| error.to_string())?;
+        serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+    }
+}
+
+/// At a new address: its whole list, as its versions may be of another history, be they what they are.
+async fn arrive(address: SocketAddr) -> Res<(Link, ListMessage)> {
+    let mut link = connect(address).await?;
+    let list = Question::whole().ask(&mut link).await?;
+    Ok((link, list))
 }
 
 /// Where the list is followed from, and how.
@@ -76,6 +108,9 @@
     seq: Option<u64>,
     /// Before the next try.
     pause: Pause,
+    /// When the whole is asked for once more, as not all that was told could be read.
+    reread: Option<Instant>,
+    doubt: Pause,
 }
 
 impl Watch {
@@ -89,46 +124,78 @@
         seq: Option<u64>,
         chance: ChaCha8Rng,
     ) -> Watch {
-        let pause = Pause::new(FIRST_PAUSE, LONGEST_PAUSE, chance);
-        Watch { address, places, desk, source, epoch: Epoch(0), seq, pause }
+        let pause = |longest| Pause::new(FIRST_PAUSE, longest, chance.clone());
+        let (pause, doubt) = (pause(LONGEST_PAUSE), pause(LONGEST_DOUBT));
+        Watch { address, places, desk, source, epoch: Epoch(0), seq, pause, reread: None, doubt }
+    }
+
+    fn question(&self) -> Question {
+        let until = self.reread.map(|at| at.saturating_duration_since(Instant::now()));
+        match self.seq.filter(|_| until.is_none_or(|until| !until.is_zero())) {
+            None => Question::whole(),
+            Some(seq) => Question::watch(seq, until.map_or(WAIT, |until| until.clamp(LEAST_WAIT, WAIT))),
+        }
     }
 
     async fn hear(&mut self) -> Res<()> {
         let mut link = connect(self.address.now()).await?;
         loop {
-            let (path, wait) = match self.seq {
-                None => ("/registry/instances".to_owned(), Duration::ZERO),
-                Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
-            };
-            let old = link.address;
-            let list = tokio::select! {
-                list = get(&mut link, &path, wait) => list?,
-                // It is asked from the same version on: what the old one was about to tell, it tells too.
-                new = self.address.moved(old, connect) => {
-                    counters::MOVES.add(1);
-                    link = new;
-                    continue;
+            let mut address = self.address.clone();
+            let mut moved = pin!(address.moved(link.address, arrive));
+            // The old address is heard until the new one has told its list: what it has written counts as told.
+            let (new, list) = loop {
+                let (question, asked) = (self.question(), Instant::now());
+                tokio::select! {
+                    biased;
+                    list = question.ask(&mut link) => self.take(list?, &question, asked.elapsed()).await?,
+                    new = &mut moved => break new,
                 }
             };
-            self.pause.reset();
-            // Versions only go back where discovery began anew: what has changed since is not known then.
-            let back = self.seq.is_none_or(|seq| list.seq() < seq);
-            self.epoch.0 += u32::from(back);
-            let unfit = !list.is_whole() && back;
-            self.seq = Some(list.seq()).filter(|_| !unfit);
-            if unfit {
-                return Err(format!("changes up to {} do not follow", list.seq()));
+            counters::MOVES.add(1);
+            link = new;
+            // One that lags tells what comes after the version known, as the old one would have.
+            if self.seq.is_none_or(|seq| list.seq() >= seq) {
+                self.take(list, &Question::whole(), Duration::ZERO).await?;
             }
-            if !list.is_empty() {
-                self.route(list).await;
+        }
+    }
+
+    /// Takes up an answer, and pauses where the agent has no reason to be asked again at once.
+    async fn take(&mut self, list: ListMessage, question: &Question, after: Duration) -> Res<()> {
+        // Versions only go back where discovery began anew: what has changed since is not known then.
+        let back = self.seq.is_none_or(|seq| list.seq() < seq);
+        let progress = self.seq != Some(list.seq());
+        self.epoch.0 += u32::from(back);
+        let unfit = !list.is_whole() && back;
+        self.seq = Some(list.seq()).filter(|_| !unfit);
+        if unfit {
+            return Err(format!("changes up to {} do not follow", list.seq()));
+        }
+        if list.is_whole() {
+            self.reread = None;
+        }
+        if !list.is_empty() {
+            if !self.route(&list).await {
+                counters::REREADS.add(1);
+                self.reread.get_or_insert(Instant::now() + self.doubt.draw());
+            } else if list.is_whole() {
+                self.doubt.reset();
             }
         }
+        // A watch that ends long before its time and brings nothing would be asked again without end.
+        if progress || after * 2 >= question.wait {
+            self.pause.reset();
+        } else {
+            self.pause.take().await;
+        }
+        Ok(())
     }
 
-    /// Hands a list on to the module.
-    pub async fn route(&self, list: ListMessage) {
-        let (places, source, epoch) = (self.places.clone(), self.source, self.epoch);
-        self.desk.tell(Box::new(move |seat, now| seat.hear(now, source, list.admit(&places, epoch)).1)).await;
+    /// Hands a list on to the module; tells whether all of it could be read.
+    pub async fn route(&self, list: &ListMessage) -> bool {
+        let (source, (word, readable)) = (self.source, list.admit(&self.places, self.epoch));
+        self.desk.tell(Box::new(move |seat, now| seat.hear(now, source, word).1)).await;
+        readable
     }
 
     pub async fn follow(mut self) {
--- a/crates/pilot/src/lists.rs
+++ b/crates/pilot/src/lists.rs
@@ -36,6 +36,13 @@
     born_ms: Option<f64>,
 }
 
+/// All that is left of an entry that cannot be read.
+#[derive(Deserialize)]
+struct Named<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
+}
+
 impl ListMessage {
     /// The version that changes may follow on; a part of a list is no base for them.
     pub fn base(&self) -> Option<u64> {
@@ -55,23 +62,32 @@
         !self.whole && self.hosts.is_empty()
     }
 
-    /// Entries that cannot be admitted are skipped, each by itself: the others still hold.
-    pub fn admit(&self, places: &Places, epoch: Epoch) -> Word {
-        let admit = |host: &RawValue| {
-            let entry = serde_json::from_str::<Listing>(host.get()).ok();
-            let told = entry.and_then(|entry| entry.admit(places, self.seq));
-            if told.is_none() {
-                counters::BAD.add(1);
-                tracing::warn!("discovery: not admitted: {:.200}", host.get());
-            }
-            told
-        };
-        let (revision, entries) =
-            (Revision(self.seq), self.hosts.iter().filter_map(|host| admit(host)).collect());
-        match self.whole {
+    /// What it says, and whether all of it could be read. An entry that cannot be costs itself alone: what was known of its
+    /// endpoint stands, and where not even its name can be read, nobody who is missing is gone.
+    pub fn admit(&self, places: &Places, epoch: Epoch) -> (Word, bool) {
+        let revision = Revision(self.seq);
+        let entries: Vec<Option<Told>> =
+            self.hosts.iter().map(|host| self.admit_host(host, places)).collect();
+        let admitted = |told: &Option<Told>| told.as_ref().is_some_and(|told| told.what != What::Unreadable);
+        let spoilt = entries.iter().filter(|told| !admitted(told)).count();
+        counters::BAD.add(spoilt);
+        let nameless = entries.iter().any(Option::is_none);
+        let entries = entries.into_iter().flatten().collect();
+        let word = match self.whole && !nameless {
             true => Word::Whole { epoch, revision, entries },
             false => Word::Changes { epoch, after: revision, revision, entries },
-        }
+        };
+        (word, spoilt == 0)
+    }
+
+    fn admit_host(&self, host: &RawValue, places: &Places) -> Option<Told> {
+        let entry = serde_json::from_str::<Listing>(host.get()).ok();
+        let told = entry.and_then(|entry| entry.admit(places, self.seq));
+        told.or_else(|| {
+            tracing::warn!("discovery: not admitted: {:.200}", host.get());
+            let Named { host } = serde_json::from_str(host.get()).ok()?;
+            Some(Told { name: Arc::from(&*host), at: Revision(self.seq), what: What::Unreadable })
+        })
     }
 }
 
