What stands is heard in any pieces, and a spoilt hello or bye is made good

Seen by reading (news.rs): a lull of 200 ms or any other word ended what stands, so that joined proxies told of after it counted as left and were bound anew; a spoilt hello or bye was left out for good; a subscription at a new address began anew with each line of the old one's news. Now: what stands ends at the second sign of life without a word of it between; who is missing while one word was spoilt has not left; after a spoilt hello or bye the news is subscribed anew beside the old link, 1 to 30 s apart.

--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
+use tokio::time::{Instant, sleep_until};
 
 use super::{ANSWER_WITHIN, FIRST_PAUSE, LONGEST_PAUSE, Link, Outbox, unreadable};
 use crate::counters;
@@ -19,8 +21,12 @@
 
 /// Two signs of life missed, and one late.
 const SILENT: Duration = Duration::from_millis(2500);
-/// What stands is told in one go; a pause ends it.
-const STANDING_LULL: Duration = Duration::from_millis(200);
+/// What stands has no end of its own: between two signs of life, a second apart, all of it has been told, in whatever
+/// pieces it came, and though other words were among them.
+const SIGNS_BETWEEN: u32 = 2;
+/// Between subscriptions made because a word could not be read; each has all proxies bound anew.
+const FIRST_DOUBT: Duration = Duration::from_secs(1);
+const LONGEST_DOUBT: Duration = Duration::from_secs(30);
 /// No honest figure is larger; sums of such stay finite.
 const LARGEST: f64 = 1e9;
 
@@ -31,6 +37,11 @@
     result: Option<bool>,
 }
 
+#[derive(Deserialize)]
+struct Method {
+    method: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct Params {
     node: Option<u32>,
@@ -65,8 +76,26 @@
     outbox: Rc<Outbox>,
     desk: Desk,
     proxies: BTreeSet<u32>,
-    /// Those told of since the last subscription, until all that stands has been told.
-    standing: Option<BTreeSet<u32>>,
+    /// What stands, since the last subscription and until all of it has been told.
+    standing: Option<Standing>,
+}
+
+#[derive(Default)]
+struct Standing {
+    told: BTreeSet<u32>,
+    /// Signs of life since the last one that was told.
+    signs: u32,
+    /// One could not be read: who is missing may be that one.
+    spoilt: bool,
+}
+
+/// What became of a word.
+enum Heard {
+    Taken,
+    /// It told nothing that could be missed.
+    LeftOut,
+    /// Somebody may have come or gone in it: what stands has to be told anew.
+    Spoilt,
 }
 
 impl Joined {
@@ -87,10 +116,16 @@
         }
     }
 
-    /// Who is missing from what stands has left unheard.
-    async fn close_standing(&mut self) {
-        let Some(told) = self.standing.take() else { return };
-        for gone in self.proxies.difference(&told).copied().collect::<Vec<_>>() {
+    /// Who is missing from what stands has left unheard, once all of it must have been told.
+    async fn sign_of_life(&mut self) {
+        let Some(standing) = &mut self.standing else { return };
+        standing.signs += 1;
+        let Some(Standing { told, spoilt, .. }) =
+            self.standing.take_if(|standing| standing.signs >= SIGNS_BETWEEN)
+        else {
+            return;
+        };
+        for gone in self.proxies.difference(&told).copied().filter(|_| !spoilt).collect::<Vec<_>>() {
             self.left(gone).await;
         }
     }
@@ -100,7 +135,11 @@
         let zone = self.terms.zones.iter().position(|zone| Some(zone) == params.locality.as_ref())?;
         let rate = params.w.filter(|w| (0.0..LARGEST).contains(w))?;
         let (proxy, zone) = (ProxyId(node), ZoneId(zone as u32));
-        let standing = self.standing.as_mut().map(|told| told.insert(node)).is_some();
+        // Told of twice, it has come again in between.
+        let standing = self.standing.as_mut().is_some_and(|standing| {
+            standing.signs = 0;
+            standing.told.insert(node)
+        });
         if standing && self.proxies.contains(&node) {
             // It may have left and come again unheard, and be bound to none of our tables then.
             counters::DOUBTED.add(1);
@@ -120,15 +159,15 @@
         Some(())
     }
 
-    async fn admit(&mut self, told: Told) -> Option<()> {
-        let method = told.method?;
-        if method != "hello" {
-            self.close_standing().await;
-        }
-        match (method.as_str(), told.params) {
-            ("hello", Some(params)) => self.hello(params).await?,
-            ("bye", Some(params)) => self.left(params.node?).await,
-            ("ack", Some(Params { node: Some(node), nonce: Some(stamp), .. }))
+    async fn admit(&mut self, told: Told) -> Heard {
+        let heard = match (told.method.as_deref(), told.params) {
+            (Some("hello"), Some(params)) => self.hello(params).await,
+            (Some("bye"), Some(Params { node: Some(node), .. })) => {
+                self.left(node).await;
+                Some(())
+            }
+            (Some("hello" | "bye") | None, _) => None,
+            (Some("ack"), Some(Params { node: Some(node), nonce: Some(stamp), .. }))
                 if node < self.terms.proxies =>
             {
                 if let Some(mark) = self.outbox.confirmed(stamp) {
@@ -136,59 +175,79 @@
                         move |seat: &mut Seat, now| seat.pilot.confirmed(now, ProxyId(node), mark);
                     self.desk.tell(Box::new(confirmed)).await;
                 }
+                Some(())
+            }
+            (Some("ping"), _) => {
+                self.sign_of_life().await;
+                Some(())
             }
-            ("ping", _) => {}
-            _ => return None,
+            (Some(_), _) => return Heard::LeftOut,
+        };
+        if heard.is_some() { Heard::Taken } else { Heard::Spoilt }
+    }
+
+    /// Of a word that is JSON and spoilt the method alone is of use; after what is no JSON nothing that follows can be
+    /// trusted to be whole.
+    async fn take(&mut self, line: &[u8]) -> io::Result<Heard> {
+        counters::NEWS.add(1);
+        let heard = match serde_json::from_slice(line) {
+            Ok(told) => self.admit(told).await,
+            Err(_) => {
+                serde_json::from_slice::<IgnoredAny>(line).map_err(|_| unreadable(line))?;
+                let method = serde_json::from_slice::<Method>(line).ok().and_then(|Method { method }| method);
+                self.admit(Told { method, params: None, result: None }).await
+            }
+        };
+        if !matches!(heard, Heard::Taken) {
+            counters::BAD.add(1);
+            tracing::warn!("relay: news left out: {:.200}", String::from_utf8_lossy(line));
         }
-        Some(())
+        if let (Heard::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
+            standing.spoilt = true;
+        }
+        Ok(heard)
     }
 
-    async fn hear(&mut self, pause: &mut Pause) -> io::Result<()> {
+    /// Follows one connection until it has to be given up, or until what stands is to be told anew.
+    async fn hear(&mut self, pause: &mut Pause, doubt: &mut Pause) -> io::Result<()> {
         let mut link = subscribe(self.address.now()).await?;
         pause.reset();
-        self.standing = Some(BTreeSet::new());
+        let mut spoilt_at: Option<Instant> = None;
         loop {
-            let lull = if self.standing.is_some() { STANDING_LULL } else { SILENT };
-            let old = link.address;
-            let read = tokio::select! {
-                read = link.read(lull) => read.map(drop),
-                // Only now does the old one go; what it may have left unsaid, who stands at the new one tells.
-                new = self.address.moved(old, subscribe) => {
-                    counters::MOVES.add(1);
-                    (link, self.standing) = (new, Some(BTreeSet::new()));
-                    continue;
+            self.standing = Some(Standing::default());
+            let (mut address, mut anew) = (self.address.clone(), None);
+            let mut moved = pin!(address.moved(link.address, subscribe));
+            let new = loop {
+                let read = tokio::select! {
+                    read = link.read(SILENT) => read.map(drop),
+                    // Only now does the old one go; what it may have left unsaid, who stands at the new one tells.
+                    new = &mut moved => {
+                        counters::MOVES.add(1);
+                        break new;
+                    }
+                    () = sleep_until(anew.unwrap_or(Instant::now())), if anew.is_some() => {
+                        counters::DOUBTS.add(1);
+                        break subscribe(link.address).await?;
+                    }
+                };
+                read?;
+                if matches!(self.take(&link.line).await?, Heard::Spoilt) && anew.is_none() {
+                    let now = Instant::now();
+                    if spoilt_at.replace(now).is_none_or(|at| now - at > LONGEST_DOUBT * 2) {
+                        doubt.reset();
+                    }
+                    anew = Some(now + doubt.draw());
                 }
             };
-            match read {
-                Err(error) if error.kind() == io::ErrorKind::TimedOut && self.standing.is_some() => {
-                    self.close_standing().await;
-                    continue;
-                }
-                read => read?,
-            }
-            let told = match serde_json::from_slice(&link.line) {
-                Ok(told) => Some(told),
-                // After what is no JSON nothing that follows can be trusted to be whole.
-                Err(_) => serde_json::from_slice::<IgnoredAny>(&link.line)
-                    .map(|_| None)
-                    .map_err(|_| unreadable(&link.line))?,
-            };
-            counters::NEWS.add(1);
-            let admitted = match told {
-                Some(told) => self.admit(told).await,
-                None => None,
-            };
-            if admitted.is_none() {
-                counters::BAD.add(1);
-                tracing::warn!("relay: news left out: {:.200}", String::from_utf8_lossy(&link.line));
-            }
+            link = new;
         }
     }
 
     pub async fn follow(mut self, chance: ChaCha8Rng) {
-        let mut pause = Pause::new(FIRST_PAUSE, LONGEST_PAUSE, chance);
+        let mut pause = Pause::new(FIRST_PAUSE, LONGEST_PAUSE, chance.clone());
+        let mut doubt = Pause::new(FIRST_DOUBT, LONGEST_DOUBT, chance);
         loop {
-            if let Err(error) = self.hear(&mut pause).await {
+            if let Err(error) = self.hear(&mut pause, &mut doubt).await {
                 counters::NEWS_LOST.add(1);
                 tracing::warn!("relay: news broke off: {error}");
             }
