Probes: an answer is one though its connection closes, and is of the life that was asked

Seen by reading (endpoints.rs): the answer and the connection's end were both waited for and either could win, so that a 200 with the connection closed behind it was a failed probe half of the time; a probe sent to one life of an endpoint counted for the next one under its name, at another start or address; settings without a limit for connecting made every probe a failed one. Now the answer goes first, and probes carry the life they ask (Roster::life).

--- a/crates/host/src/counters.rs
+++ b/crates/host/src/counters.rs
@@ -46,6 +46,7 @@
     LEAST_LEVEL: "thousandths of the class let in least",
     LISTS: "lists taken in",
     GIVEN_BACK: "endpoints' numbers given back",
+    OUTLIVED: "probes that their endpoint's life did not outlast",
     STALE: "stale words of sources left out",
     GAPS: "gaps in what sources told",
     BARRED: "listings of lives that were over",
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -28,9 +28,10 @@
     fn release(&self);
 }
 
-/// A question to an endpoint, to be answered by [`Pilot::probed`](dahliaroad::Pilot::probed) exactly once.
+/// A question to one life of an endpoint, to be answered by [`Seat::probed`] exactly once.
 pub struct Probe {
     pub endpoint: EndpointId,
+    pub life: u64,
     pub dial: SocketAddr,
 }
 
@@ -114,7 +115,8 @@
                 orders.notes.iter().for_each(|note| tracing::info!("{note}"));
                 wake_at = orders.wake_after.map_or(wake_at, |after| Instant::now() + after);
                 for endpoint in orders.probes {
-                    let probe = seat.roster.dial(endpoint).map(|dial| Probe { endpoint, dial });
+                    let life = seat.roster.life(endpoint);
+                    let probe = seat.roster.dial(endpoint).map(|dial| Probe { endpoint, life, dial });
                     // One that cannot be sent ends at once: each has exactly one result.
                     if probe.is_none_or(|probe| probes.try_send(probe).is_err()) {
                         let end = ProbeEnd::TurnedAway;
--- a/crates/host/src/roster.rs
+++ b/crates/host/src/roster.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dahliaroad::interface::EndpointId;
 
@@ -14,6 +15,9 @@
     numbers: HashMap<Arc<str>, u32>,
     names: Vec<Arc<str>>,
     dials: Vec<Option<SocketAddr>>,
+    /// When each started, and how many lives its number has seen: what is asked of one says nothing of the next.
+    starts: Vec<Option<Duration>>,
+    lives: Vec<u64>,
     /// Numbers that were given back.
     free: BTreeSet<u32>,
 }
@@ -23,17 +27,22 @@
         self.numbers.get(name).copied().map(EndpointId)
     }
 
-    pub fn list(&mut self, name: &str, dial: Option<SocketAddr>) -> EndpointId {
+    pub fn list(&mut self, name: &str, dial: Option<SocketAddr>, started: Option<Duration>) -> EndpointId {
         let number = self.find(name).unwrap_or_else(|| {
             let (number, name) = (self.free.pop_first(), Arc::<str>::from(name));
             let number = number.unwrap_or(self.names.len() as u32);
             self.names.resize(self.names.len().max(number as usize + 1), name.clone());
             self.dials.resize(self.names.len(), None);
+            self.starts.resize(self.names.len(), None);
+            self.lives.resize(self.names.len(), 0);
             self.names[number as usize] = name.clone();
             self.numbers.insert(name, number);
             EndpointId(number)
         });
-        self.dials[number.0 as usize] = dial.or(self.dials[number.0 as usize]);
+        let place = number.0 as usize;
+        let dial = dial.or(self.dials[place]);
+        self.lives[place] += u64::from((self.dials[place], self.starts[place]) != (dial, started));
+        (self.dials[place], self.starts[place]) = (dial, started);
         number
     }
 
@@ -41,6 +50,7 @@
         counters::GIVEN_BACK.add(1);
         self.numbers.remove(&self.names[endpoint.0 as usize]);
         self.dials[endpoint.0 as usize] = None;
+        self.lives[endpoint.0 as usize] += 1;
         self.free.insert(endpoint.0);
     }
 
@@ -51,4 +61,34 @@
     pub fn name(&self, endpoint: EndpointId) -> Arc<str> {
         self.names[endpoint.0 as usize].clone()
     }
+
+    /// Which life of this number it is; another start or another address makes another.
+    pub fn life(&self, endpoint: EndpointId) -> u64 {
+        self.lives[endpoint.0 as usize]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn another_start_another_address_and_another_name_under_the_number_are_other_lives() {
+        let mut roster = Roster::default();
+        let (here, there) = (Some("127.0.0.1:1".parse().unwrap()), Some("127.0.0.1:2".parse().unwrap()));
+        let (start, again) = (Some(Duration::from_secs(1)), Some(Duration::from_secs(2)));
+        let e = roster.list("a", here, start);
+        let mut lives = vec![roster.life(e)];
+        for (name, dial, started) in [("a", here, again), ("a", there, again), ("b", there, again)] {
+            if name == "b" {
+                roster.give_back(e);
+            }
+            assert_eq!(roster.list(name, dial, started), e);
+            lives.push(roster.life(e));
+            assert_eq!(roster.list(name, None, started), e);
+            assert_eq!(roster.life(e), lives[lives.len() - 1]);
+        }
+        lives.dedup();
+        assert_eq!(lives.len(), 4);
+    }
 }
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/seat.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dahliaroad::Pilot;
-use dahliaroad::interface::{Listed, Orders, Phase, ZoneId};
+use dahliaroad::interface::{EndpointId, Listed, Orders, Phase, ProbeEnd, ZoneId};
 use dahliaroad_fleet::{Fleet, Handed, Handover, SourceId, Standing, Verdict, Word};
 
 use crate::counters;
@@ -42,6 +42,13 @@
         handover.map_or_else(Orders::default, |handover| self.list(now, handover))
     }
 
+    /// How a probe of this life ended: of the one that has the number now it says nothing, if that is another.
+    pub fn probed(&mut self, now: Duration, endpoint: EndpointId, life: u64, end: ProbeEnd) -> Orders {
+        let same = self.roster.life(endpoint) == life;
+        counters::OUTLIVED.add(usize::from(!same));
+        self.pilot.probed(now, endpoint, if same { end } else { ProbeEnd::TurnedAway })
+    }
+
     /// What the decisions stand at, for the line of counters.
     pub fn tell_counters(&self) {
         let waiting = self.pilot.lines_waiting() as usize;
@@ -88,7 +95,7 @@
     fn listed(&mut self, handed: &Handed) -> Option<Listed> {
         Some(match &handed.entry {
             Some(entry) => Listed {
-                endpoint: self.roster.list(&handed.name, entry.dial),
+                endpoint: self.roster.list(&handed.name, entry.dial, entry.life.started),
                 zone: entry.zone,
                 kind: entry.kind,
                 weight: entry.weight,
--- a/crates/pilot/src/endpoints.rs
+++ b/crates/pilot/src/endpoints.rs
@@ -34,9 +34,12 @@
     let request = Request::get("/health/live").header(header::HOST, dial.to_string());
     let Ok(request) = request.body(Empty::<Bytes>::new()) else { return ProbeEnd::Failed };
     let answer = async {
+        let mut answer = std::pin::pin!(sender.send_request(request));
         tokio::select! {
-            answer = sender.send_request(request) => answer.ok(),
-            _ = connection => None,
+            biased;
+            answer = &mut answer => answer.ok(),
+            // Who answers and closes at once has answered: by its end the connection has handed on what it read.
+            _ = connection => answer.await.ok(),
         }
     };
     let sent = Instant::now();
@@ -51,8 +54,10 @@
 }
 
 pub async fn probe(mut probes: mpsc::Receiver<Probe>, connect_within: Duration, limits: Limits, desk: Desk) {
+    // Settings that name no limit for a connection must not make every probe a failed one.
+    let connect_within = if connect_within.is_zero() { ANSWER_WITHIN } else { connect_within };
     let room = std::sync::Arc::new(Semaphore::new(AT_ONCE.min(limits.sockets / 4)));
-    while let Some(Probe { endpoint, dial }) = probes.recv().await {
+    while let Some(Probe { endpoint, life, dial }) = probes.recv().await {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         let desk = desk.clone();
         tokio::task::spawn_local(async move {
@@ -60,7 +65,7 @@
             let end = ask(dial, connect_within).await;
             drop(permit);
             counters::PROBES_ANSWERED.add(usize::from(end == ProbeEnd::Answered));
-            desk.tell(Box::new(move |seat, now| seat.pilot.probed(now, endpoint, end))).await;
+            desk.tell(Box::new(move |seat, now| seat.probed(now, endpoint, life, end))).await;
         });
     }
 }
--- a/crates/pilot/src/relay/outbox.rs
+++ b/crates/pilot/src/relay/outbox.rs
@@ -246,7 +246,7 @@
     fn roster(size: u32) -> Roster {
         let mut roster = Roster::default();
         for e in 0..size {
-            roster.list(&format!("s-{e:08x}"), None);
+            roster.list(&format!("s-{e:08x}"), None, None);
         }
         roster
     }
--- a/crates/pilot/tests/crossings.rs
+++ b/crates/pilot/tests/crossings.rs
@@ -6,9 +6,12 @@
 use std::collections::BTreeSet;
 
 use serde_json::{Value, json};
-use stage::script::{Call, News, Relay};
+use stage::script::{Agent, Call, News, Question, Relay};
 use stage::*;
-use toyfleet::Fleet;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use toyfleet::{Collector, Fleet};
 
 /// A pilot whose relay is the story's own.
 async fn at(relay: &Relay, fleet: &Fleet, change: impl Fn(&mut Value)) -> Pilot {
@@ -26,13 +29,17 @@
     for node in nodes {
         news.hello(*node).await;
     }
+    bind_all(relay, &news, nodes).await;
+    (pilot, news)
+}
+
+async fn bind_all(relay: &Relay, news: &News, nodes: &[u32]) {
     let mut waiting: BTreeSet<u32> = nodes.iter().copied().collect();
     while !waiting.is_empty() {
         let call = relay.call().await;
         waiting.retain(|node| !call.has(binding(*node)));
-        relay.carry_out(&call, &news, nodes).await;
+        relay.carry_out(&call, news, nodes).await;
     }
-    (pilot, news)
 }
 
 fn binding(node: u32) -> Value {
@@ -92,8 +99,7 @@
         news.hello(2).await;
         let call = relay.call_with(&news, &[0], |call| call.has(binding(2))).await;
         news.bye(2).await;
-        let left = pilot.count("proxies left").await;
-        assert_eq!(left, 1);
+        pilot.counts_to("proxies left", 1).await;
         call.wire.break_off().await;
         let again = relay.call().await;
         assert!(!again.has(binding(2)) && again.stamp().is_some());
@@ -172,3 +178,316 @@
         assert!(pilot.logged("was not read"));
     });
 }
+
+/// A pilot with an agent of the story's own, which has asked for what comes after the list it knows.
+async fn watched(relay: &Relay, agent: &Agent, fleet: &Fleet) -> (Pilot, News, Question, u64) {
+    let discovery = agent.address;
+    let at_agent = move |all: &mut Value| all["discovery"] = json!(discovery);
+    let pilot = at(relay, fleet, at_agent).await;
+    let news = relay.subscribed().await;
+    news.live();
+    news.hello(0).await;
+    bind_all(relay, &news, &[0]).await;
+    let (seq, question) = (fleet.world.seq.get(), agent.question().await);
+    assert!(question.is_watch_after(seq));
+    (pilot, news, question, seq)
+}
+
+/// The fleet's list, with entries changed.
+fn list(fleet: &Fleet, seq: u64, change: impl Fn(&mut Value)) -> Value {
+    let mut list = fleet.world.list(None);
+    list["seq"] = json!(seq);
+    list["hosts"].as_array_mut().unwrap().iter_mut().for_each(change);
+    list
+}
+
+/// Changes alone: these entries of a list.
+fn changes(mut list: Value, names: &[&str]) -> Value {
+    list["whole"] = json!(false);
+    list["hosts"].as_array_mut().unwrap().retain(|host| names.iter().any(|name| host["host"] == **name));
+    list
+}
+
+fn leaving(name: &str) -> impl Fn(&mut Value) {
+    move |host| {
+        if host["host"] == name {
+            host["health"] = json!("leaving");
+        }
+    }
+}
+
+fn takes_out(name: &'static str) -> impl Fn(&Call) -> bool {
+    move |call| call.has(json!({"verb": "share", "endpoint": name, "w": 0.0}))
+}
+
+#[test]
+fn a_spoilt_entry_keeps_what_was_known_and_is_asked_for_again() {
+    play(async {
+        let (fleet, relay, agent) = (fleet(6).await, Relay::listen().await, Agent::listen().await);
+        let (pilot, news, question, seq) = watched(&relay, &agent, &fleet).await;
+        // In changes: the version moves on, and the entry was a drain.
+        let spoil = |key: &'static str| {
+            move |host: &mut Value| {
+                if host["host"] == "e0" {
+                    host[key] = json!([7]);
+                }
+            }
+        };
+        question.answer(&changes(list(&fleet, seq + 1, spoil("site")), &["e0"])).await;
+        let mut again = agent.question().await;
+        while !again.is_for_the_whole() {
+            assert!(again.is_watch_after(seq + 1));
+            again.answer(&changes(list(&fleet, seq + 1, |_| {}), &[])).await;
+            again = agent.question().await;
+        }
+        again.answer(&list(&fleet, seq + 1, leaving("e0"))).await;
+        relay.carry_out(&relay.call_with(&news, &[0], takes_out("e0")).await, &news, &[0]).await;
+        // In a whole list: neither is the entry gone, nor, where not even a name can be read, anybody.
+        for (key, at) in [("site", seq + 2), ("host", seq + 3)] {
+            let question = agent.question().await;
+            let list = list(&fleet, at, |host| {
+                leaving("e0")(host);
+                if host["host"] == "e2" {
+                    host[key] = json!(7);
+                }
+            });
+            question.answer(&list).await;
+        }
+        // Something that shows that the lists were heard: a drain behind them.
+        let question = agent.question().await;
+        let last = list(&fleet, seq + 4, |host| {
+            leaving("e0")(host);
+            leaving("e4")(host);
+        });
+        question.answer(&changes(last, &["e4"])).await;
+        let call = relay.call_with(&news, &[0], |call| takes_out("e4")(call) || takes_out("e2")(call)).await;
+        assert!(!takes_out("e2")(&call));
+        assert_eq!(pilot.count("inputs refused").await, 3);
+    });
+}
+
+#[test]
+fn an_agent_that_answers_at_once_with_nothing_is_not_asked_without_a_pause() {
+    play(async {
+        let (fleet, relay, agent) = (fleet(4).await, Relay::listen().await, Agent::listen().await);
+        let (pilot, news, question, seq) = watched(&relay, &agent, &fleet).await;
+        let nothing = changes(list(&fleet, seq, |_| {}), &[]);
+        question.answer(&nothing).await;
+        let mut asked = 0;
+        let mut collector = Collector::new(fleet.world.clone(), pilot.listen);
+        // As long as it takes to be asked whether it is alive, again and again: far longer than answers take.
+        for _ in 0..200 {
+            pilot.assert_alive().await;
+            while let Ok(question) = timeout(std::time::Duration::from_millis(1), agent.question()).await {
+                asked += 1;
+                question.answer(&nothing).await;
+            }
+        }
+        collector.second().await.unwrap();
+        assert!(asked < 30, "asked {asked} times");
+        // And the list is followed all the same.
+        agent.question().await.answer(&changes(list(&fleet, seq + 1, leaving("e0")), &["e0"])).await;
+        relay.call_with(&news, &[0], takes_out("e0")).await;
+    });
+}
+
+#[test]
+fn at_a_new_address_the_whole_list_is_asked_for_and_what_the_old_one_wrote_meanwhile_counts() {
+    play(async {
+        let (fleet, relay, agent) = (fleet(6).await, Relay::listen().await, Agent::listen().await);
+        let (pilot, news, question, seq) = watched(&relay, &agent, &fleet).await;
+        let new = Agent::listen().await;
+        let mut all = configuration(&fleet, json!(null));
+        (all["store"]["address"], all["discovery"]) = (json!(relay.address), json!(new.address));
+        std::fs::write(&pilot.file, all.to_string()).unwrap();
+        pilot.signal("-HUP");
+        // The new agent's history is another one of the same length: only the whole of it shows what it tells.
+        let first = new.question().await;
+        assert!(first.is_for_the_whole(), "{}", first.path);
+        question.answer(&changes(list(&fleet, seq + 1, leaving("e0")), &["e0"])).await;
+        relay.carry_out(&relay.call_with(&news, &[0], takes_out("e0")).await, &news, &[0]).await;
+        first.answer(&list(&fleet, seq + 1, leaving("e2"))).await;
+        let call = relay.call_with(&news, &[0], takes_out("e2")).await;
+        assert!(!call.ops().iter().any(|op| op["endpoint"] == "e0" && op["w"] != 0.0));
+        assert!(new.question().await.is_watch_after(seq + 1));
+    });
+}
+
+#[test]
+fn a_watch_s_answer_cut_at_any_byte_tells_nothing_and_is_asked_for_again() {
+    play(async {
+        let (fleet, relay, agent) = (fleet(4).await, Relay::listen().await, Agent::listen().await);
+        let (_pilot, news, mut question, mut seq) = watched(&relay, &agent, &fleet).await;
+        let told = |seq| Question::answer_text(&changes(list(&fleet, seq + 1, leaving("e0")), &["e0"]));
+        for cut in 0..told(seq).len() {
+            assert!(question.is_watch_after(seq), "cut at {cut}: {}", question.path);
+            question.wire.write(&told(seq).as_bytes()[..cut]).await;
+            question.wire.break_off().await;
+            question = agent.question().await;
+            assert!(question.is_watch_after(seq), "cut at {cut}: {}", question.path);
+            // It is followed all the same: something else changes between.
+            question.answer(&changes(list(&fleet, seq + 1, |_| {}), &["e2"])).await;
+            seq += 1;
+            question = agent.question().await;
+        }
+        let told = told(seq);
+        // Cut behind its last byte it was told.
+        question.wire.write(told.as_bytes()).await;
+        question.wire.break_off().await;
+        relay.call_with(&news, &[0], takes_out("e0")).await;
+        assert!(agent.question().await.is_watch_after(seq + 1));
+    });
+}
+
+#[test]
+fn an_endpoint_that_answers_a_probe_and_closes_at_once_has_answered() {
+    play(async {
+        let fleet = fleet(6).await;
+        // It fails calls, so that it is probed, and answers each probe well in the last words of its connection.
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        fleet.world.add_endpoint("e0", "east", "large", 20.0, listener.local_addr().unwrap());
+        fleet.world.set_state("e0", toyfleet::State::Failing);
+        tokio::task::spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut question = [0; 1024];
+                let _ = stream.read(&mut question).await;
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+            }
+        });
+        let pilot = Pilot::start(configuration(&fleet, fleet.world.list(None))).await;
+        until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
+        let mut collector = Collector::new(fleet.world.clone(), pilot.listen);
+        let mut answered = (0, 0);
+        while answered.0 < 6 {
+            collector.second().await.unwrap();
+            tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+            answered = (pilot.count("probes sent").await, pilot.count("probes answered well").await);
+        }
+        assert!(answered.1 + 1 >= answered.0, "{answered:?}");
+    });
+}
+
+#[test]
+fn an_address_that_the_process_before_still_holds_is_waited_for() {
+    play(async {
+        let fleet = fleet(4).await;
+        let before = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut all = configuration(&fleet, fleet.world.list(None));
+        all["listen"] = json!(before.local_addr().unwrap());
+        let (mut command, _) = program(&all.to_string());
+        let mut process = command.spawn().unwrap();
+        let mut log = tokio::io::BufReader::new(process.stderr.take().unwrap());
+        let mut first = String::new();
+        tokio::io::AsyncBufReadExt::read_line(&mut log, &mut first).await.unwrap();
+        assert!(first.contains("in use"), "{first}");
+        drop(before);
+        until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
+        // One that is told to end while it waits ends well.
+        let (mut command, _) = program(&all.to_string());
+        let mut second = command.spawn().unwrap();
+        let mut log = tokio::io::BufReader::new(second.stderr.take().unwrap());
+        tokio::io::AsyncBufReadExt::read_line(&mut log, &mut first).await.unwrap();
+        let id = second.id().unwrap().to_string();
+        assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(timeout(AT_MOST, second.wait()).await.expect("an end").unwrap().success());
+    });
+}
+
+#[test]
+fn a_signal_that_comes_while_the_configuration_is_read_is_kept_and_kills_nobody() {
+    play(async {
+        let fleet = fleet(4).await;
+        let all = configuration(&fleet, fleet.world.list(None)).to_string();
+        let (mut command, file) = program(&all);
+        // The first to read the file waits in the middle of it.
+        let pipe = file.with_extension("pipe");
+        assert!(std::process::Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+        command.env("ROUTER_CONFIG", &pipe);
+        let process = command.spawn().unwrap();
+        let opened = pipe.clone();
+        let write = tokio::task::spawn_blocking(move || std::fs::File::create(opened).unwrap());
+        let mut write = timeout(AT_MOST, write).await.expect("a reader").unwrap();
+        let id = process.id().unwrap().to_string();
+        for signal in ["-HUP", "-USR1"] {
+            assert!(std::process::Command::new("kill").args([signal, &id]).status().unwrap().success());
+        }
+        // Whoever reads it next finds a file.
+        std::fs::rename(&file, &pipe).unwrap();
+        std::io::Write::write_all(&mut write, all.as_bytes()).unwrap();
+        drop(write);
+        until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
+    });
+}
+
+#[test]
+fn a_configuration_of_another_deployment_moves_nothing() {
+    play(async {
+        let (fleet, pilot) = stage(4).await;
+        let other = Relay::listen().await;
+        let mut all = configuration(&fleet, json!(null));
+        all["store"]["address"] = json!(other.address);
+        let mut files = [all.clone(), all.clone(), all.clone()];
+        files[0]["name"] = json!("another");
+        files[1]["settings"]["classes"][0]["name"] = json!("lookups");
+        files[2]["settings"]["zones"][0] = json!("north");
+        for (place, file) in files.iter().enumerate() {
+            std::fs::write(&pilot.file, file.to_string()).unwrap();
+            pilot.signal("-HUP");
+            let refused =
+                || pilot.log.borrow().iter().filter(|line| line.contains("another deployment's")).count();
+            until("refused", || refused() == place + 1).await;
+        }
+        fleet.world.set_health("e0", "leaving");
+        until("drained", || !held_somewhere(&fleet, "e0")).await;
+        assert_eq!(pilot.count("configurations refused").await, 3);
+        assert_eq!(pilot.count("links moved to a new address").await, 0);
+    });
+}
+
+#[test]
+fn what_stands_may_come_in_pieces_and_with_other_words_in_it() {
+    play(async {
+        let (fleet, relay) = (fleet(4).await, Relay::listen().await);
+        let (pilot, news) = bound_to(&relay, &fleet, &[0, 1, 2], |_| {}).await;
+        news.0.break_off().await;
+        let news = relay.subscribed().await;
+        news.hello(0).await;
+        news.ping().await;
+        news.ack(0, 1).await;
+        news.bye(3).await;
+        // So long as nothing else comes, what is missing is late: two seconds of questions and answers.
+        for _ in 0..20 {
+            pilot.assert_alive().await;
+            tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+        }
+        news.hello(1).await;
+        news.ping().await;
+        news.hello(2).await;
+        bind_all(&relay, &news, &[0, 1, 2]).await;
+        assert_eq!(pilot.count("proxies left").await, 0);
+        // Two signs of life without a word between them end it.
+        news.ping().await;
+        news.ping().await;
+        assert_eq!(pilot.count("proxies joined").await, 3);
+    });
+}
+
+#[test]
+fn a_spoilt_hello_or_bye_is_made_good_by_asking_who_stands() {
+    play(async {
+        let (fleet, relay) = (fleet(4).await, Relay::listen().await);
+        let (pilot, news) = bound_to(&relay, &fleet, &[0, 1], |_| {}).await;
+        for params in [json!({"node": 2, "locality": 7, "w": 10.0, "cold": true}), json!({"node": "?"})] {
+            news.tell(if params["w"].is_null() { "bye" } else { "hello" }, params).await;
+        }
+        // Who stands is told anew, on another connection: 1 has left, and 2 is there.
+        let news = relay.subscribed().await;
+        news.live();
+        news.hello(0).await;
+        news.hello(2).await;
+        bind_all(&relay, &news, &[0, 2]).await;
+        pilot.counts_to("proxies left", 1).await;
+        assert_eq!(pilot.count("news lost").await, 0);
+        assert_eq!(pilot.count("subscriptions anew after a spoilt word").await, 1);
+    });
+}
--- a/crates/pilot/tests/stage/mod.rs
+++ b/crates/pilot/tests/stage/mod.rs
@@ -111,6 +111,16 @@
         count.unwrap_or_else(|| panic!("no {counter} in {line}"))
     }
 
+    /// Waits until a counter has come so far; asked so seldom that the log's bound leaves no answer out.
+    pub async fn counts_to(&self, counter: &str, least: usize) {
+        let wait = async {
+            while self.count(counter).await < least {
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        timeout(AT_MOST, wait).await.unwrap_or_else(|_| panic!("never: {counter} {least}"));
+    }
+
     /// Asks on a connection of its own.
     pub async fn assert_alive(&self) {
         let mut stream = TcpStream::connect(self.listen).await.unwrap();
--- a/crates/pilot/tests/stage/script.rs
+++ b/crates/pilot/tests/stage/script.rs
@@ -119,6 +119,84 @@
     }
 }
 
+/// A question for the list that waits for its answer.
+pub struct Question {
+    pub path: String,
+    pub wire: Rc<Wire>,
+}
+
+impl Question {
+    pub fn is_watch_after(&self, seq: u64) -> bool {
+        self.path.starts_with(&format!("/registry/instances?after={seq}&"))
+    }
+
+    pub fn is_for_the_whole(&self) -> bool {
+        self.path == "/registry/instances"
+    }
+
+    pub fn answer_text(list: &Value) -> String {
+        let body = list.to_string();
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+    }
+
+    pub async fn answer(&self, list: &Value) {
+        self.wire.write(Question::answer_text(list).as_bytes()).await;
+    }
+}
+
+/// Discovery's agent, word by word.
+pub struct Agent {
+    pub address: SocketAddr,
+    questions: Mutex<mpsc::UnboundedReceiver<Question>>,
+}
+
+impl Agent {
+    pub async fn listen() -> Agent {
+        let (heard, questions) = mpsc::unbounded_channel();
+        let address = hear(move |line, wire| {
+            let path = line.strip_prefix("GET ").and_then(|rest| rest.split(' ').next());
+            path.is_none_or(|path| heard.send(Question { path: path.to_owned(), wire: wire.clone() }).is_ok())
+        })
+        .await;
+        Agent { address, questions: Mutex::new(questions) }
+    }
+
+    pub async fn question(&self) -> Question {
+        let next = timeout(AT_MOST, self.questions.lock().await.recv()).await;
+        next.expect("a question").unwrap()
+    }
+
+    /// How many questions have come that nobody has taken up.
+    pub async fn unheard(&self) -> usize {
+        let mut questions = self.questions.lock().await;
+        std::iter::from_fn(|| questions.try_recv().ok()).count()
+    }
+}
+
+/// Takes connections on an address of its own, and hands on each line that comes.
+async fn hear(heard: impl Fn(&str, &Rc<Wire>) -> bool + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, heard) = (listener.local_addr().unwrap(), Rc::new(heard));
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let (read, write) = stream.into_split();
+            let wire = Rc::new(Wire { out: Mutex::new(Some(write)), reader: RefCell::default() });
+            let (to, heard) = (wire.clone(), heard.clone());
+            let reader = spawn_local(async move {
+                let mut lines = BufReader::new(read).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    if !heard(&line, &to) {
+                        return;
+                    }
+                }
+            });
+            wire.reader.replace(Some(reader.abort_handle()));
+        }
+    });
+    address
+}
+
 pub struct Relay {
     pub address: SocketAddr,
     calls: Mutex<mpsc::UnboundedReceiver<Call>>,
@@ -127,29 +205,16 @@
 
 impl Relay {
     pub async fn listen() -> Relay {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
         let ((calls, calls_kept), (subscribers, subscribers_kept)) =
             (mpsc::unbounded_channel(), mpsc::unbounded_channel());
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let _ = stream.set_nodelay(true);
-                let (read, write) = stream.into_split();
-                let wire = Rc::new(Wire { out: Mutex::new(Some(write)), reader: RefCell::default() });
-                let (heard, calls, subscribers) = (wire.clone(), calls.clone(), subscribers.clone());
-                let reader = spawn_local(async move {
-                    let mut lines = BufReader::new(read).lines();
-                    while let Ok(Some(line)) = lines.next_line().await {
-                        let word: Value = serde_json::from_str(&line).expect("JSON");
-                        let _ = match word["method"].as_str() {
-                            Some("subscribe") => subscribers.send((word, heard.clone())).is_ok(),
-                            _ => calls.send(Call { word, wire: heard.clone() }).is_ok(),
-                        };
-                    }
-                });
-                wire.reader.replace(Some(reader.abort_handle()));
+        let address = hear(move |line, wire| {
+            let word: Value = serde_json::from_str(line).expect("JSON");
+            match word["method"].as_str() {
+                Some("subscribe") => subscribers.send((word, wire.clone())).is_ok(),
+                _ => calls.send(Call { word, wire: wire.clone() }).is_ok(),
             }
-        });
+        })
+        .await;
         Relay { address, calls: Mutex::new(calls_kept), subscribers: Mutex::new(subscribers_kept) }
     }
 
--- a/crates/pilot/tests/stories.rs
+++ b/crates/pilot/tests/stories.rs
@@ -83,6 +83,8 @@
         let calls = world.calls.borrow().len();
         world.set_health("e1", "leaving");
         until("drained", || world.calls.borrow().len() > calls && !pilot.logged("stopped at")).await;
+        // Who is missing has left as soon as all that stands must have been told, two signs of life later.
+        pilot.counts_to("proxies left", 1).await;
         assert_eq!(pilot.count("proxies left").await, 1);
         assert_eq!(pilot.count("proxies joined").await, 4);
     });
