--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -32,6 +32,8 @@
     pub answer_times: BTreeMap<u32, Duration>,
     /// What a report covers.
     pub span: Duration,
+    /// Answers carry no load reports.
+    pub untold: bool,
 }
 
 pub fn deployment() -> Deployment {
@@ -112,6 +114,7 @@
             mark: 0,
             answer_times: BTreeMap::new(),
             span: 1000 * MS,
+            untold: false,
         }
     }
 
@@ -149,7 +152,13 @@
     pub fn meet(&mut self, endpoint: u32, second: Second, span: Duration) {
         let (tries, failed, busy) = second;
         let answer_time = self.answer_times.get(&endpoint).copied().unwrap_or(200 * MS);
-        let met = Met { tries, failed, answer_time, span, load: LoadReport { busy: Some(busy) } };
+        let met = Met {
+            tries,
+            failed,
+            answer_time,
+            span,
+            load: LoadReport { busy: (!self.untold).then_some(busy) },
+        };
         let orders = self.pilot.met(self.now, ZoneId(0), EndpointId(endpoint), met);
         self.carry_out(orders);
     }
