--- a/examples/src/relay.rs
+++ b/examples/src/relay.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::interval;
 
 use crate::world::World;
 
+/// How a commit call begins; what asks for news does not.
+const COMMIT: &[u8] = br#"{"jsonrpc":"2.0","id":"#;
+
 /// What can befall a commit call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -28,6 +31,11 @@
     /// Not carried out, and answered with more than was sent, or for no call at all.
     Overcounted,
     Nameless,
+    /// The connection breaks behind so many bytes of the call, which is not carried out.
+    CallCut(usize),
+    /// Carried out, and the connection breaks behind so many bytes of the answer, or stays open without the rest.
+    AnswerCut(usize),
+    AnswerStuck(usize),
 }
 
 async fn news(stream: &mut BufReader<TcpStream>, world: &World) -> io::Result<()> {
@@ -63,7 +71,18 @@
 
 async fn answer(stream: TcpStream, world: &World) -> io::Result<()> {
     let (mut stream, mut line) = (BufReader::new(stream), String::new());
-    while stream.read_line(&mut line).await? > 0 {
+    loop {
+        let cut = world.faults.borrow().front().copied();
+        if let Some(Fault::CallCut(count)) = cut
+            && stream.fill_buf().await?.starts_with(COMMIT)
+        {
+            world.faults.borrow_mut().pop_front();
+            stream.read_exact(&mut vec![0; count]).await?;
+            return Ok(());
+        }
+        if stream.read_line(&mut line).await? == 0 {
+            return Ok(());
+        }
         if world.relay_silent.get() {
             std::future::pending::<()>().await;
         }
@@ -91,11 +110,18 @@
         match fault {
             Some(Fault::Lost | Fault::BrokenAfter) => return Ok(()),
             Some(Fault::Unheard | Fault::Unanswered) => std::future::pending::<()>().await,
+            Some(Fault::AnswerCut(count)) => {
+                stream.write_all(&format!("{answer}\n").as_bytes()[..count]).await?;
+                return Ok(());
+            }
+            Some(Fault::AnswerStuck(count)) => {
+                stream.write_all(&format!("{answer}\n").as_bytes()[..count]).await?;
+                std::future::pending::<()>().await;
+            }
             Some(Fault::Garbled) => stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":\n").await?,
             _ => stream.write_all(format!("{answer}\n").as_bytes()).await?,
         }
     }
-    Ok(())
 }
 
 pub async fn speak(stream: TcpStream, world: Rc<World>) {
