--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -114,4 +114,65 @@
             assert!(error.contains(expected), "{error}");
         }
     }
+
+    /// A day of one instance, a batch of its events each; endpoints are met in an order of its own.
+    fn day(who: u32, settings: [&str; 2], names: [&str; 3]) -> Vec<Vec<String>> {
+        let mut start = start(who);
+        start = start.replace(settings[0], settings[1]);
+        let entry = |name: &&str| {
+            format!(
+                r#"{{"shape":0,"endpoint":"{name}","share":1,"dc":0,"cohort":0,"started_at_ms":null,"lifecycle":"Running"}}"#
+            )
+        };
+        let entries: Vec<String> = names.iter().map(entry).collect();
+        let list = format!(
+            r#"{{"directory_update":{{"who":{who},"mode":"cached","rev":4,"members_list":[{}]}}}}"#,
+            entries.join(",")
+        );
+        let mut batches = vec![vec![start, list]];
+        for second in 0..12 {
+            let met = |(place, name): (usize, &&str)| {
+                format!(
+                    r#"{{"traffic_report":{{"who":{who},"lost":{},"covers_ms":1000.0,"dc":0,"spent_ms":40.5,"endpoint":"{name}","total":{},"telemetry":[]}}}}"#,
+                    second % 3,
+                    20 + 7 * place
+                )
+            };
+            let mut events: Vec<String> = names.iter().enumerate().map(met).collect();
+            if second == 1 {
+                events.push(format!(
+                    r#"{{"enrolled":{{"who":{who},"edge":0,"dc":0,"share":30,"flag":true}}}}"#
+                ));
+            }
+            events.push(format!(r#"{{"due":{{"who":{who},"ctx":0}}}}"#));
+            batches.push(events);
+        }
+        batches
+    }
+
+    /// What an instance orders when the batches hold these instances' events.
+    fn orders_of(who: u32, days: &[Vec<Vec<String>>]) -> Vec<String> {
+        let mut lines = Vec::new();
+        for place in 0..days[0].len() {
+            lines.push(format!(r#"{{"batch":{{"t_ms":{},"serial":{place}}}}}"#, place * 1000));
+            lines.extend(days.iter().flat_map(|day| day[place].clone()));
+            lines.push(r#"{"your_turn":{}}"#.to_owned());
+        }
+        let lines: Vec<&str> = lines.iter().map(String::as_str).collect();
+        let mine = format!(r#""who":{who}}}"#);
+        let output = play(&lines).expect("a clean day");
+        output.lines().filter(|line| line.contains(&mine)).map(str::to_owned).collect()
+    }
+
+    #[test]
+    fn instances_of_unlike_settings_in_one_process_order_what_each_does_alone() {
+        let one =
+            day(1, [r#""on_time_ms":1000,"worth":1"#, r#""on_time_ms":700,"worth":5"#], ["a", "b", "c"]);
+        let other = day(2, [r#""admit":"ratio""#, r#""admit":"rps""#], ["c", "d", "a"]);
+        let both = [one.clone(), other.clone()];
+        let alone = [orders_of(1, &[one]), orders_of(2, &[other])];
+        assert!(alone.iter().all(|orders| orders.iter().any(|order| order.contains("bind"))), "{alone:?}");
+        assert_eq!([orders_of(1, &both), orders_of(2, &both)], alone);
+        assert_ne!(alone[0].len(), 0);
+    }
 }
