A connection that the relay has closed is not written to

Seen by reading (calls.rs, relay): a link used within the last second was written to though its end had come, so that the call's fate was unknown and it was sent, and counted, twice. The end is looked for first. The story closes the connection behind each answer: five calls in a row were repeated on the text before, none now.

--- a/crates/pilot/src/relay.rs
+++ b/crates/pilot/src/relay.rs
@@ -46,6 +46,12 @@
         Ok(Link { address, stream: BufReader::new(stream), line: Vec::new(), used: Instant::now() })
     }
 
+    /// Whether the relay has closed it, or said what nobody asked for: what is written then would be of unknown fate.
+    fn is_quiet(&self) -> bool {
+        let waits = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
+        self.stream.buffer().is_empty() && self.stream.get_ref().try_read(&mut [0]).is_err_and(waits)
+    }
+
     async fn write(&mut self, line: &[u8]) -> io::Result<()> {
         timeout(ANSWER_WITHIN, self.stream.write_all(line)).await??;
         self.used = Instant::now();
--- a/crates/pilot/src/relay/calls.rs
+++ b/crates/pilot/src/relay/calls.rs
@@ -58,7 +58,7 @@
 
 impl Caller {
     async fn relay(&mut self, orders: &[Order]) -> Outcome {
-        let fresh = |link: &Link| link.used.elapsed() < REUSED_WITHIN;
+        let fresh = |link: &Link| link.used.elapsed() < REUSED_WITHIN && link.is_quiet();
         let (address, old) = (self.address.now(), self.link.take().filter(fresh));
         let link = match old {
             Some(link) if link.address == address => Some(link),
--- a/crates/pilot/tests/crossings.rs
+++ b/crates/pilot/tests/crossings.rs
@@ -179,6 +179,24 @@
     });
 }
 
+#[test]
+fn a_connection_that_the_relay_has_closed_is_not_written_to() {
+    play(async {
+        let (fleet, relay) = (fleet(4).await, Relay::listen().await);
+        let (pilot, news) = bound_to(&relay, &fleet, &[0], |_| {}).await;
+        for round in 0..5 {
+            news.hello(2).await;
+            let call = relay.call_with(&news, &[0], |call| call.has(binding(2))).await;
+            relay.carry_out(&call, &news, &[2]).await;
+            call.wire.break_off().await;
+            // Its end has come once the news behind it is heard.
+            news.bye(2).await;
+            pilot.counts_to("proxies left", round + 1).await;
+        }
+        assert_eq!(pilot.count("calls without a readable answer").await, 0);
+    });
+}
+
 /// A pilot with an agent of the story's own, which has asked for what comes after the list it knows.
 async fn watched(relay: &Relay, agent: &Agent, fleet: &Fleet) -> (Pilot, News, Question, u64) {
     let discovery = agent.address;
