An old list does not bring an earlier life of a running name back

Seen by reading (fleet.rs, list): a list of a lagging agent that has a restarted name with its earlier start replaced the life known, so that a process that had just started passed for long warm, which is what ramps go by. A later start is a later life, as all machines read one clock; a start still to come is made good by the next word. The story fails without.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -244,7 +244,8 @@
             seen.by.insert(from, Listing { epoch, at, entry, barred: false });
             return;
         }
-        if self.knows_later(from, same_epoch, at, name) {
+        let outlived = returns == Returns::UnlessDrained && self.knows_younger(now, from, entry.life, name);
+        if outlived || self.knows_later(from, same_epoch, at, name) {
             self.counts.stale += 1;
             return;
         }
@@ -272,6 +273,13 @@
         same_epoch && prior.is_some_and(|prior| at < prior.at)
     }
 
+    /// An old list may have a name in an earlier life: taken at its word, one that has just started would pass for warm. All
+    /// read the same clock, so a later start is a later life, unless it is still to come.
+    fn knows_younger(&self, now: Duration, from: SourceId, life: Life, name: &Arc<str>) -> bool {
+        let prior = self.seen.get(name).and_then(|seen| seen.by.get(&from)).map(|prior| prior.entry.life);
+        prior.is_some_and(|prior| life.started < prior.started && prior.started <= Some(now))
+    }
+
     /// A source does not list a name any more: that life is over, in other sources' words too if it was drained.
     fn drop_from(&mut self, now: Duration, from: SourceId, name: &Arc<str>) {
         let Some(seen) = self.seen.get_mut(name) else { return };
--- a/crates/fleet/tests/stories.rs
+++ b/crates/fleet/tests/stories.rs
@@ -343,3 +343,20 @@
     let new = fleet.hear(NOW, source, changes(2, 8, 8, vec![runs("a", 7_000, 0)]));
     assert_eq!(handed(new), Some(Standing::Running));
 }
+
+#[test]
+fn an_old_list_of_the_platform_s_does_not_bring_an_earlier_life_back() {
+    let mut fleet = Fleet::new(Bounds::default());
+    let source = fleet.add(SourceTerms::direct("discovery"));
+    let start = |fleet: &Fleet| fleet.believed().next().unwrap().1.life.started;
+    fleet.hear(NOW, source, whole(1, 5, vec![runs("a", 0, 0)]));
+    fleet.hear(NOW, source, changes(1, 5, 6, vec![runs("a", 99_000, 0)]));
+    // Another agent, whose list is older: the process that has just started is cold, whatever that list says.
+    fleet.hear(NOW, source, whole(2, 4, vec![runs("a", 0, 0), runs("b", 0, 0)]));
+    assert_eq!(start(&fleet), Some(Duration::from_millis(99_000)));
+    assert_eq!(fleet.counts.stale, 1);
+    // A start that is still to come cannot be true, and is made good by the next word.
+    fleet.hear(NOW, source, changes(2, 4, 7, vec![runs("a", 200_000, 0)]));
+    fleet.hear(NOW, source, changes(2, 7, 8, vec![runs("a", 99_500, 0)]));
+    assert_eq!(start(&fleet), Some(Duration::from_millis(99_500)));
+}
