--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -211,7 +211,6 @@
     /// Follows one connection until it has to be given up, or until what stands is to be told anew.
     async fn hear(&mut self, pause: &mut Pause, doubt: &mut Pause) -> io::Result<()> {
         let mut link = subscribe(self.address.now()).await?;
-        pause.reset();
         let mut spoilt_at: Option<Instant> = None;
         loop {
             self.standing = Some(Standing::default());
@@ -231,7 +230,12 @@
                     }
                 };
                 read?;
-                if matches!(self.take(&link.line).await?, Heard::Spoilt) && anew.is_none() {
+                let heard = self.take(&link.line).await?;
+                // One that breaks off each time before all that stands was told is not asked again at once.
+                if self.standing.is_none() {
+                    pause.reset();
+                }
+                if matches!(heard, Heard::Spoilt) && anew.is_none() {
                     let now = Instant::now();
                     if spoilt_at.replace(now).is_none_or(|at| now - at > LONGEST_DOUBT * 2) {
                         doubt.reset();
--- a/crates/pilot/tests/crossings.rs
+++ b/crates/pilot/tests/crossings.rs
@@ -3,7 +3,9 @@
 
 mod stage;
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use serde_json::{Value, json};
 use stage::script::{Agent, Call, News, Question, Relay};
@@ -509,3 +511,29 @@
         assert_eq!(pilot.count("subscriptions anew after a spoilt word").await, 1);
     });
 }
+
+#[test]
+fn news_that_breaks_off_over_and_over_costs_no_proxy_more_messages_than_its_stream_bears() {
+    play(async {
+        let (fleet, relay) = (fleet(4).await, Relay::listen().await);
+        let (pilot, mut news) = bound_to(&relay, &fleet, &[0], |_| {}).await;
+        let (relay, bound) = (Rc::new(relay), Rc::new(Cell::new(1)));
+        let (answering, counted) = (relay.clone(), bound.clone());
+        tokio::task::spawn_local(async move {
+            loop {
+                let call = answering.call().await;
+                counted.set(counted.get() + usize::from(call.has(binding(0))));
+                call.take().await;
+            }
+        });
+        // Each time all that stands is told, and the pilot has heard it, the connection breaks.
+        for round in 0..14 {
+            news.0.break_off().await;
+            news = relay.subscribed().await;
+            news.hello(0).await;
+            pilot.counts_to("proxies bound anew after a break of news", round + 1).await;
+        }
+        // Seven seconds by its pauses; the settings let twelve messages go in ten.
+        assert!(bound.get() <= 12, "bound {} times", bound.get());
+    });
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -686,3 +686,21 @@
     host.quiet(25);
     assert!(host.tables.values().any(|table| table.contains_key(&0)), "the comer is in a table");
 }
+
+#[test]
+fn a_proxy_doubted_over_and_over_gets_no_more_messages_than_its_stream_bears_and_is_bound_in_the_end() {
+    let mut host = Host::running(deployment(), 6);
+    let begun = host.now;
+    for _ in 0..40 {
+        host.pilot.doubted(ProxyId(0));
+        host.quiet(1);
+    }
+    let to_it = |host: &Host, since: Duration| {
+        host.messages.iter().filter(|(proxy, at)| *proxy == 0 && *at > since).count()
+    };
+    assert!(to_it(&host, begun - 10_000 * MS) <= 12, "{}", to_it(&host, begun - 10_000 * MS));
+    let last = host.now;
+    host.pilot.doubted(ProxyId(0));
+    host.quiet(110);
+    assert!((1..=12).contains(&to_it(&host, last)));
+}
