A call confirmed after its time-out is not sent once more

Orders of calls of unknown fate are now remembered by their places (16 calls), and a late confirmation takes them out of what waits and of what is put back. The story has the confirmation come while the repeat is under way; on the text before the binding is sent a third time.

--- a/crates/pilot/src/relay/calls.rs
+++ b/crates/pilot/src/relay/calls.rs
@@ -179,8 +179,9 @@
             Outcome::Unsure(error) => {
                 counters::UNSURE.add(1);
                 tracing::warn!("relay: a call is repeated: {error}");
-                outbox.put_back(batch.orders);
-                if let Some(mark) = batch.mark {
+                let mark = batch.mark;
+                outbox.put_back_doubtful(batch);
+                if let Some(mark) = mark {
                     self.desk
                         .tell(Box::new(move |seat, now| {
                             seat.pilot.repeated(now, mark);
--- a/crates/pilot/src/relay/outbox.rs
+++ b/crates/pilot/src/relay/outbox.rs
@@ -1,7 +1,7 @@
 //! Orders on their way to the relay: written out, waiting, and cut into calls.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use dahliaroad::interface::{ClassSet, Orders, Tries};
@@ -13,6 +13,8 @@
 /// Stamps are below this, and begin anew.
 const STAMPS: u32 = 1 << 16;
 const LONGEST_MARK: usize = r#"{"verb":"mark","stamp":65535,"set":0}"#.len();
+/// Calls of unknown fate that are remembered: more than are tried while a confirmation is under way.
+const DOUBTFUL: usize = 16;
 /// Calls whose stamps are remembered: more than are made while a confirmation can be under way.
 const REMEMBERED: usize = 1024;
 
@@ -53,6 +55,14 @@
 pub struct Batch {
     pub orders: Vec<Order>,
     pub mark: Option<u32>,
+    stamp: Option<u32>,
+}
+
+/// A call of unknown fate: by their places, the orders that it carried, and whether a proxy has confirmed it since.
+struct Doubtful {
+    stamp: u32,
+    places: BTreeSet<u64>,
+    proved: bool,
 }
 
 /// A call that was made under a stamp of its own.
@@ -78,6 +88,7 @@
     /// The next call's stamp. Each call has its own, or one's confirmation would count as proof of another.
     stamp: Cell<u32>,
     calls: RefCell<VecDeque<Stamped>>,
+    doubtful: RefCell<VecDeque<Doubtful>>,
     /// The stamp of the call that is not answered yet, and whether a proxy confirmed it.
     proof: Cell<(Option<u32>, bool)>,
     filled: Notify,
@@ -132,7 +143,7 @@
             orders.push((target, Written { bytes: order.to_string().into_bytes(), ..written }));
         }
         self.proof.set((stamp, false));
-        (!orders.is_empty()).then_some(Batch { orders, mark: number })
+        (!orders.is_empty()).then_some(Batch { orders, mark: number, stamp })
     }
 
     fn next_stamp(&self, mark: u32, whole: bool) -> u32 {
@@ -147,8 +158,27 @@
         stamp
     }
 
-    /// Orders that have to be sent again, unless later ones took their place or their proxy has left since.
-    pub fn put_back(&self, orders: Vec<Order>) {
+    /// A call that may have been carried out: its orders are sent again, unless a proxy confirms it before.
+    pub fn put_back_doubtful(&self, Batch { orders, stamp, .. }: Batch) {
+        if let Some(stamp) = stamp {
+            let mut doubtful = self.doubtful.borrow_mut();
+            if doubtful.len() >= DOUBTFUL {
+                doubtful.pop_front();
+            }
+            let places = orders.iter().map(|(_, written)| written.place).collect();
+            doubtful.push_back(Doubtful { stamp, places, proved: false });
+        }
+        self.put_back(orders);
+    }
+
+    /// Whether the order of this place stands by a call whose fate was unknown at first.
+    fn stands(&self, written: &Written) -> bool {
+        self.doubtful.borrow().iter().any(|call| call.proved && call.places.contains(&written.place))
+    }
+
+    /// Orders that have to be sent again, unless later ones took their place, their proxy has left since, or they stand.
+    pub fn put_back(&self, mut orders: Vec<Order>) {
+        orders.retain(|(_, written)| !self.stands(written));
         let (mut waiting, left) = (self.waiting.borrow_mut(), self.left.borrow());
         for (target, written) in orders {
             let of_earlier_stream = match target {
@@ -190,6 +220,11 @@
     pub fn confirmed(&self, stamp: u32) -> Option<u32> {
         let (awaited, proved) = self.proof.get();
         self.proof.set((awaited, proved || awaited == Some(stamp)));
+        let late = |call: &&mut Doubtful| call.stamp == stamp && !call.proved;
+        let proved_late = self.doubtful.borrow_mut().iter_mut().find(late).map(|call| call.proved = true);
+        if proved_late.is_some() {
+            self.waiting.borrow_mut().retain(|_, written| !self.stands(written));
+        }
         let calls = self.calls.borrow();
         let call = calls.iter().rfind(|call| call.stamp == stamp)?;
         call.whole.then_some(call.mark)
@@ -338,6 +373,28 @@
         assert!(outbox.proved());
     }
 
+    #[test]
+    fn a_call_confirmed_late_is_not_sent_once_more_be_its_orders_waiting_or_under_way() {
+        let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(1));
+        outbox.send(&bindings(&[3], 5), &roster);
+        let first = outbox.take_call(usize::MAX).expect("orders");
+        let stamp_of_first = stamp(&first);
+        outbox.put_back_doubtful(first);
+        let again = outbox.take_call(usize::MAX).expect("orders");
+        outbox.send(&bindings(&[4], 6), &roster);
+        outbox.confirmed(stamp_of_first);
+        outbox.put_back_doubtful(again);
+        let rest = outbox.take_call(usize::MAX).expect("orders");
+        assert_eq!((texts(&rest).len(), texts(&rest)[0]["node"].as_u64()), (2, Some(4)));
+        // So it is where they wait.
+        outbox.send(&bindings(&[5], 7), &roster);
+        let other = outbox.take_call(usize::MAX).expect("orders");
+        let stamp_of_other = stamp(&other);
+        outbox.put_back_doubtful(other);
+        outbox.confirmed(stamp_of_other);
+        assert!(outbox.take_call(usize::MAX).is_none());
+    }
+
     #[test]
     fn what_the_relay_stopped_at_is_tried_again_unless_it_can_only_fail_or_was_superseded() {
         let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(3));
--- a/crates/pilot/tests/crossings.rs
+++ b/crates/pilot/tests/crossings.rs
@@ -181,6 +181,26 @@
     });
 }
 
+#[test]
+fn a_call_confirmed_after_its_time_out_is_not_sent_once_more() {
+    play(async {
+        let (fleet, relay) = (fleet(4).await, Relay::listen().await);
+        let (pilot, news) = bound_to(&relay, &fleet, &[0], |_| {}).await;
+        news.hello(2).await;
+        // Carried out and never answered, twice; the confirmation of the first comes while the second is under way.
+        let first = relay.call_with(&news, &[0], |call| call.has(binding(2))).await;
+        let second = relay.call_with(&news, &[0], |call| call.has(binding(2))).await;
+        let bye = News::line("bye", json!({"node": 0}));
+        let ack = News::line("ack", json!({"node": 2, "nonce": first.stamp(), "latency": 300.0}));
+        news.0.write(format!("{ack}{bye}").as_bytes()).await;
+        pilot.counts_to("proxies left", 1).await;
+        second.wire.break_off().await;
+        news.hello(1).await;
+        let next = relay.call_with(&news, &[], |call| call.has(binding(1)) || call.has(binding(2))).await;
+        assert!(next.has(binding(1)) && !next.has(binding(2)));
+    });
+}
+
 #[test]
 fn a_connection_that_the_relay_has_closed_is_not_written_to() {
     play(async {
