What a peer says ends no log line; a call that is never read waits longer each time

Control characters are escaped in one place (logging.rs, shown), and the pause grows once a call cannot be halved.

--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::counters;
+use crate::logging::shown;
 use crate::start::Limits;
 
 const LONGEST: u32 = 1 << 20;
@@ -153,8 +154,7 @@
 }
 
 fn unfit(what: &str, bytes: &[u8]) -> io::Error {
-    let text = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]);
-    io::Error::new(io::ErrorKind::InvalidData, format!("{what}: {text}"))
+    io::Error::new(io::ErrorKind::InvalidData, format!("{what}: {}", shown(bytes)))
 }
 
 /// The next frame's bytes; `None` at a clean end.
@@ -211,10 +211,7 @@
             None if visit.is_known() && spoilt < SPOILT_IN_A_ROW => {
                 spoilt += 1;
                 counters::SPOILT.add(1);
-                tracing::warn!(
-                    "collectors: left out: {}",
-                    String::from_utf8_lossy(&bytes[..bytes.len().min(200)])
-                );
+                tracing::warn!("collectors: left out: {}", shown(bytes));
             }
             _ => return Err(unfit("not admitted", bytes)),
         }
--- a/crates/pilot/src/lists.rs
+++ b/crates/pilot/src/lists.rs
@@ -10,6 +10,7 @@
 use serde_json::value::RawValue;
 
 use crate::counters;
+use crate::logging::shown;
 
 /// No figure of an honest list is larger; sums of such stay finite.
 const LARGEST: f64 = 1e12;
@@ -84,7 +85,7 @@
         let entry = serde_json::from_str::<Listing>(host.get()).ok();
         let told = entry.and_then(|entry| entry.admit(places, self.seq));
         told.or_else(|| {
-            tracing::warn!("discovery: not admitted: {:.200}", host.get());
+            tracing::warn!("discovery: not admitted: {}", shown(host.get().as_bytes()));
             let Named { host } = serde_json::from_str(host.get()).ok()?;
             Some(Told { name: Arc::from(&*host), at: Revision(self.seq), what: What::Unreadable })
         })
--- a/crates/pilot/src/logging.rs
+++ b/crates/pilot/src/logging.rs
@@ -13,6 +13,9 @@
 /// Lines a second; enough for any trouble to show, too few to cost anything.
 const LINES_PER_SECOND: u32 = 40;
 
+/// Of what a peer said, so many bytes.
+const SHOWN: usize = 200;
+
 /// What lines look like.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum Form {
@@ -68,6 +71,13 @@
     }
 }
 
+/// A peer's bytes as a line may have them: the first of them, and nothing that would end it or pass for another.
+pub fn shown(bytes: &[u8]) -> String {
+    let text = String::from_utf8_lossy(&bytes[..bytes.len().min(SHOWN)]);
+    let escape = |c: char| if c.is_control() { c.escape_default().collect() } else { c.to_string() };
+    text.trim_end().chars().map(escape).collect()
+}
+
 pub fn start(form: Form) {
     let bound = Bound { start: Instant::now(), budget: Mutex::default() };
     let lines =
@@ -84,6 +94,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_a_peer_says_ends_no_line_and_begins_none() {
+        assert_eq!(
+            shown(b"bad\n9.9 INFO all is well\x1b[1m\0\n"),
+            "bad\\n9.9 INFO all is well\\u{1b}[1m\\u{0}"
+        );
+        assert_eq!(shown(&[b'a'; 999]).len(), SHOWN);
+    }
+
     #[test]
     fn a_flood_of_lines_is_cut_each_second_and_counted() {
         let mut budget = Budget::default();
--- a/crates/pilot/src/relay.rs
+++ b/crates/pilot/src/relay.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::logging::shown;
+
 pub use calls::carry_out;
 pub use news::{Joined, Terms};
 pub use outbox::Outbox;
@@ -36,7 +38,7 @@
 }
 
 fn unreadable(line: &[u8]) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, format!("cannot read {:.200}", String::from_utf8_lossy(line)))
+    io::Error::new(io::ErrorKind::InvalidData, format!("cannot read {}", shown(line)))
 }
 
 impl Link {
--- a/crates/pilot/src/relay/calls.rs
+++ b/crates/pilot/src/relay/calls.rs
@@ -14,6 +14,7 @@
 use super::outbox::{Batch, Order, Outbox, Target};
 use super::{ANSWER_WITHIN, FIRST_PAUSE, LONGEST_PAUSE, Link, unreadable};
 use crate::counters;
+use crate::logging::shown;
 use crate::pause::Pause;
 use crate::start::Address;
 
@@ -145,7 +146,7 @@
                 counters::SHORT.add(1);
                 outbox.put_back(batch.orders.split_off(count + 1));
                 let stopped = batch.orders.swap_remove(count);
-                tracing::warn!("relay: stopped at {}", String::from_utf8_lossy(&stopped.1.bytes));
+                tracing::warn!("relay: stopped at {}", shown(&stopped.1.bytes));
                 if stopped.1.again {
                     self.put_aside(stopped);
                 }
@@ -160,8 +161,10 @@
                 if count == 1 {
                     self.put_aside(batch.orders.swap_remove(0));
                 }
-                self.outbox.put_back(batch.orders);
-                self.pause.reset();
+                outbox.put_back(batch.orders);
+                if count > 1 {
+                    self.pause.reset();
+                }
                 self.pause.take().await;
             }
             Outcome::Busy => {
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -16,6 +16,7 @@
 
 use super::{ANSWER_WITHIN, FIRST_PAUSE, LONGEST_PAUSE, Link, Outbox, unreadable};
 use crate::counters;
+use crate::logging::shown;
 use crate::pause::Pause;
 use crate::start::Address;
 
@@ -200,7 +201,7 @@
         };
         if !matches!(heard, Heard::Taken) {
             counters::BAD.add(1);
-            tracing::warn!("relay: news left out: {:.200}", String::from_utf8_lossy(line));
+            tracing::warn!("relay: news left out: {}", shown(line));
         }
         if let (Heard::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
             standing.spoilt = true;
