A doubted proxy goes on counting as bound until it is bound once more

Cause: since bindings wait for messages (unbound_proxy), a doubted proxy stayed unbound for longer in the pilot's eyes, while the relay had it bound to its tables and sent it what they were ordered, uncounted (state.rs, push: members). Before, both took an instant. Change: a doubted proxy keeps its binding, and what its tables get is counted, until it may be bound once more.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -787,8 +787,9 @@
             lines <= room && self.tables_of(pool).iter().any(has_lines)
         };
         let mut known = vec![None; self.pools.len()];
-        // One bound over and over, as news of it breaks off, has a stream that may be the same all along.
-        let may = |proxy: &Proxy| !proxy.bound && proxy.left.is_none() && self.messages_left(proxy, 1.0);
+        // One doubted over and over, as news of it breaks off, may have had the same stream all along.
+        let again = |proxy: &Proxy| proxy.doubted && self.messages_left(proxy, 1.0);
+        let may = |proxy: &Proxy| proxy.left.is_none() && (!proxy.bound || again(proxy));
         let mut waiting = self.proxies.iter().filter(|(_, proxy)| may(proxy));
         let fitting = waiting.find(|(_, proxy)| *known[proxy.pool].get_or_insert_with(|| fits(proxy.pool)));
         fitting.map(|(id, _)| id.0 as usize)
--- a/src/state.rs
+++ b/src/state.rs
@@ -281,6 +281,9 @@
     /// When its stream broke, if it has: it goes on sending by the tables it holds.
     pub left: Option<Duration>,
     pub bound: bool,
+    /// It may have come anew unheard, and is to be bound once more; until then it may be bound still, and gets what its
+    /// tables get.
+    pub doubted: bool,
     /// Reported on since it joined.
     pub heard: bool,
     /// Calls a second by class, and the calls and seconds of a report that they come of.
@@ -300,8 +303,8 @@
     pub fn new(pool: usize, rates: Vec<f64>, usual: f64, (now, round): (Duration, Duration)) -> Self {
         let (span, told_at) = (round.as_secs_f64(), vec![now; rates.len()]);
         let (calls, spans) = (rates.iter().map(|rate| rate * span).collect(), vec![span; rates.len()]);
-        let (left, bound, heard, messages) = (None, false, false, VecDeque::new());
-        Proxy { pool, left, bound, heard, rates, calls, spans, told_at, usual, messages }
+        let (left, bound, doubted, heard, messages) = (None, false, false, false, VecDeque::new());
+        Proxy { pool, left, bound, doubted, heard, rates, calls, spans, told_at, usual, messages }
     }
 
     pub fn messages_since(&self, start: Duration) -> usize {
@@ -527,7 +530,7 @@
     pub(crate) fn bind(&mut self, id: usize, orders: &mut Orders) {
         let id = ProxyId(id as u32);
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
-        proxy.bound = true;
+        (proxy.bound, proxy.doubted) = (true, false);
         let pool = proxy.pool;
         self.note_message(id, self.binding_lines(pool));
         for (place, group) in self.groups.iter().enumerate() {
@@ -556,7 +559,7 @@
     /// What travels to a proxy is lost with its stream.
     pub(crate) fn note_left(&mut self, now: Duration, id: ProxyId) {
         if let Some(known) = self.proxies.get_mut(&id) {
-            (known.left, known.bound) = (Some(now), false);
+            (known.left, known.bound, known.doubted) = (Some(now), false, false);
         }
         self.waiting.retain(|_, waits| waits != id);
     }
@@ -564,7 +567,7 @@
     /// A proxy that may have come anew unheard: whatever it was bound to may bind it no more.
     pub fn doubted(&mut self, id: ProxyId) {
         if let Some(known) = self.proxies.get_mut(&id) {
-            known.bound = false;
+            known.doubted = known.bound;
         }
         self.waiting.retain(|_, waits| waits != id);
     }
@@ -623,8 +626,8 @@
         let fresh = Proxy::new(pool, vec![rate / classes as f64; classes], rate, round);
         let joining = match self.proxies.remove(&id) {
             Some(known) => {
-                let Proxy { left, bound, heard, told_at, messages, .. } = fresh;
-                Proxy { left, bound, heard, told_at, messages, ..known }
+                let Proxy { left, bound, doubted, heard, told_at, messages, .. } = fresh;
+                Proxy { left, bound, doubted, heard, told_at, messages, ..known }
             }
             None => fresh,
         };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -689,10 +689,14 @@
 
 #[test]
 fn a_proxy_doubted_over_and_over_gets_no_more_messages_than_its_stream_bears_and_is_bound_in_the_end() {
-    let mut host = Host::running(deployment(), 6);
+    let mut host = Host::running(deployment(), 12);
     let begun = host.now;
-    for _ in 0..40 {
+    for round in 0..40 {
         host.pilot.doubted(ProxyId(0));
+        // Its tables change meanwhile, and it may be bound to them still.
+        if round % 5 == 4 {
+            host.list(false, &[Listed { phase: Phase::Draining, ..listed(round / 5, round / 5 % 2) }]);
+        }
         host.quiet(1);
     }
     let to_it = |host: &Host, since: Duration| {
