--- a/src/policy.rs
+++ b/src/policy.rs
@@ -395,11 +395,6 @@
 
     fn estimate_capacity(&mut self) {
         let (average, by_kind) = self.fleet.mean_capacities();
-        // Where nothing reports its load, an idle look may be a fifth of the truth: a comer's part is one of what warm ones
-        // are seen to do, which it does not fall over at, however far the estimate is off.
-        let untold = self.fleet.reported.iter().all(Option::is_none);
-        let seen =
-            self.fleet.mean_rate().filter(|_| untold).map(|rate| rate * self.site.fall_multiple * CAUTION);
         for e in 0..self.fleet.len() {
             let fleet = &self.fleet;
             // Probes may never confirm (shallow ones meet no errors): the part it answers is all it gets.
@@ -411,7 +406,6 @@
                 let heard = if n > 0.0 { fleet.rate[e] / fleet.busy[e] } else { usual };
                 ((n * heard + (ROUNDS - n) * usual) / ROUNDS).clamp(all / SPREAD, all * SPREAD)
             });
-            let full = seen.filter(|_| self.ramping(e)).map_or(full, |seen| full.min(seen));
             let shown = fleet.rising[e] / fleet.rising_busy[e].max(LEAST_BUSY);
             let part = if fleet.usable(e) { self.ramp(e, shown / full.max(f64::MIN_POSITIVE)) } else { 0.0 };
             self.fleet.capacity[e] = full * part * answered.max(LEAST_TRUST);
@@ -660,7 +654,7 @@
     /// for what those that the list has ended since still answered.
     fn failing_soon(&self) -> f64 {
         let (failing, fleet) = (self.state.failing, &self.fleet);
-        if !self.site.keep_away {
+        if !self.site.keep_away || failing < PILING / 2.0 {
             return failing;
         }
         let ended: f64 = (0..fleet.len()).filter(|&e| !fleet.open[e]).map(|e| fleet.good[e]).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -233,13 +233,6 @@
         (mean(all), sums.into_iter().map(mean).collect())
     }
 
-    /// Good answers a second of an endpoint, of those that were measured.
-    pub fn mean_rate(&self) -> Option<f64> {
-        let measured = || (0..self.len()).filter(|&e| self.rounds[e] > 0.0);
-        let count = measured().count() as f64;
-        (count > 0.0).then(|| measured().map(|e| self.rate[e]).sum::<f64>() / count)
-    }
-
     /// Adds up what stands of all zones; tells which endpoints were heard of since `start`.
     pub fn gather(&mut self, now: Duration, start: Duration) -> Vec<bool> {
         let mut fresh = vec![false; self.len()];
