--- a/src/policy.rs
+++ b/src/policy.rs
@@ -654,7 +654,7 @@
     /// for what those that the list has ended since still answered.
     fn failing_soon(&self) -> f64 {
         let (failing, fleet) = (self.state.failing, &self.fleet);
-        if !self.site.keep_away || failing < PILING / 2.0 {
+        if !self.site.keep_away || failing < PILING / 4.0 {
             return failing;
         }
         let ended: f64 = (0..fleet.len()).filter(|&e| !fleet.open[e]).map(|e| fleet.good[e]).sum();
