The story of a call's proof waits until the confirmation was heard

Reread: it sent the confirmation on one connection and broke another at once, so that the bad order was likely and not forced; now a hello behind the confirmation has been counted first. A comment that told a wrong span and a collector that reported to nobody are gone; no assertion changed.

--- a/crates/pilot/tests/crossings.rs
+++ b/crates/pilot/tests/crossings.rs
@@ -6,13 +6,14 @@
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use stage::script::{Agent, Call, News, Question, Relay};
 use stage::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use toyfleet::{Collector, Fleet};
 
 /// A pilot whose relay is the story's own.
@@ -78,15 +79,17 @@
                 all["settings"]["domain"][channel] = json!(1e6);
             }
         };
-        let (_pilot, news) = bound_to(&relay, &fleet, &[0, 1], wide).await;
+        let (pilot, news) = bound_to(&relay, &fleet, &[0, 1], wide).await;
         (0..260).for_each(|place| fleet.world.set_health(&name(place), "leaving"));
         let first = relay.call_with(&news, &[0, 1], |call| call.ops().len() > 100 && withdrawal(call)).await;
         first.take().await;
         let second = relay.call().await;
         let lost = taken_out(&second);
         assert!(!lost.is_empty() && lost.is_disjoint(&taken_out(&first)));
-        news.ack(0, first.stamp().unwrap()).await;
-        // Heard, as news and calls are read in turn by one thread: a word of its own shows it.
+        // The confirmation has been heard once the hello behind it has.
+        let ack = News::line("ack", json!({"node": 0, "nonce": first.stamp(), "latency": 1.0}));
+        news.0.write([ack, News::hello_line(2)].concat().as_bytes()).await;
+        pilot.counts_to("proxies joined", 3).await;
         second.wire.break_off().await;
         let again = relay.call_with(&news, &[0, 1], withdrawal).await;
         assert!(taken_out(&again).is_superset(&lost));
@@ -314,16 +317,14 @@
         let nothing = changes(list(&fleet, seq, |_| {}), &[]);
         question.answer(&nothing).await;
         let mut asked = 0;
-        let mut collector = Collector::new(fleet.world.clone(), pilot.listen);
         // As long as it takes to be asked whether it is alive, again and again: far longer than answers take.
         for _ in 0..200 {
             pilot.assert_alive().await;
-            while let Ok(question) = timeout(std::time::Duration::from_millis(1), agent.question()).await {
+            while let Ok(question) = timeout(Duration::from_millis(1), agent.question()).await {
                 asked += 1;
                 question.answer(&nothing).await;
             }
         }
-        collector.second().await.unwrap();
         assert!(asked < 30, "asked {asked} times");
         // And the list is followed all the same.
         agent.question().await.answer(&changes(list(&fleet, seq + 1, leaving("e0")), &["e0"])).await;
@@ -400,7 +401,7 @@
         let mut answered = (0, 0);
         while answered.0 < 6 {
             collector.second().await.unwrap();
-            tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+            sleep(Duration::from_millis(500)).await;
             answered = (pilot.count("probes sent").await, pilot.count("probes answered well").await);
         }
         assert!(answered.1 + 1 >= answered.0, "{answered:?}");
@@ -495,10 +496,10 @@
         news.ping().await;
         news.ack(0, 1).await;
         news.bye(3).await;
-        // So long as nothing else comes, what is missing is late: two seconds of questions and answers.
+        // A lull within what stands, three times as long as once ended it.
         for _ in 0..20 {
             pilot.assert_alive().await;
-            tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+            sleep(Duration::from_millis(30)).await;
         }
         news.hello(1).await;
         news.ping().await;
