--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -6,7 +6,8 @@
 
 use dahliaroad::Pilot;
 use dahliaroad::interface::{
-    Came, ClassId, EndpointId, Listed, LoadReport, Met, Orders, Phase, ProbeEnd, ProxyId, Tries, ZoneId,
+    ClassId, DemandReport, EndpointId, EndpointReport, EndpointState, EndpointUpdate, LoadReport, Orders,
+    ProbeOutcome, ProxyId, RetryPolicy, ZoneId,
 };
 use dahliaroad_opening::{Fields, Opening, Res, opening, span};
 use serde_json::{Value, json};
@@ -62,38 +63,38 @@
         Ok(report)
     }
 
-    fn listed(&mut self, value: &Value) -> Res<Listed> {
+    fn listed(&mut self, value: &Value) -> Res<EndpointUpdate> {
         let entry = Fields::of("members_list", value)?;
         let started = match entry.optional("started_at_ms") {
             Some(_) => Some(entry.number("started_at_ms")?).filter(|at| *at > 0.0),
             None => None,
         };
-        let phase = match entry.text("lifecycle")? {
-            "Running" => Phase::Running,
-            "Stopping" => Phase::Draining,
-            "Deleted" => Phase::Gone,
+        let state = match entry.text("lifecycle")? {
+            "Running" => EndpointState::Running,
+            "Stopping" => EndpointState::Draining,
+            "Deleted" => EndpointState::Gone,
             other => return Err(format!("members_list: unknown lifecycle '{other}'")),
         };
-        Ok(Listed {
+        Ok(EndpointUpdate {
             endpoint: self.endpoint(entry)?,
             zone: self.zone(entry)?,
             kind: entry.small("shape")?,
             weight: entry.amount("share")?,
             started: started.map(span).transpose()?,
-            phase,
+            state,
         })
     }
 
     fn list(&mut self, now: Duration, fields: Fields) -> Res<Orders> {
         let whole = match fields.text("mode")? {
-            "failed" => return Ok(self.pilot.list_failed(now)),
+            "failed" => return Ok(self.pilot.endpoint_list_failed(now)),
             "delta" => false,
             "full" | "cached" => true,
             other => return Err(format!("directory_update: unknown mode '{other}'")),
         };
         let entries = fields.list("members_list")?.iter().map(|value| self.listed(value));
         let entries = entries.collect::<Res<Vec<_>>>()?;
-        Ok(self.pilot.list(now, whole, &entries))
+        Ok(self.pilot.update_endpoints(now, whole, &entries))
     }
 
     /// An event of a running instance. Those that the pilot does not go by are checked all the same.
@@ -102,49 +103,50 @@
             "directory_update" => self.list(now, fields)?,
             "due" => {
                 fields.whole("ctx")?;
-                self.pilot.woken(now)
+                self.pilot.on_timer(now)
             }
             "enrolled" => {
                 fields.flag("flag")?;
                 let proxy = ProxyId(fields.small("edge")?);
                 let zone = self.zone(fields)?;
-                self.pilot.joined(now, proxy, zone, fields.amount("share")?)
+                self.pilot.proxy_joined(now, proxy, zone, fields.amount("share")?)
             }
-            "unsubscribed" => self.pilot.left(now, ProxyId(fields.small("edge")?)),
+            "unsubscribed" => self.pilot.proxy_left(now, ProxyId(fields.small("edge")?)),
             "traffic_report" => {
                 let endpoint = self.endpoint(fields)?;
-                let met = Met {
+                let met = EndpointReport {
                     tries: fields.amount("total")?,
                     failed: fields.amount("lost")?,
                     answer_time: span(fields.amount("spent_ms")?)?,
                     span: span(fields.amount("covers_ms")?)?,
                     load: self.load(fields)?,
                 };
-                self.pilot.met(now, self.zone(fields)?, endpoint, met)
+                self.pilot.endpoint_report(now, self.zone(fields)?, endpoint, met)
             }
             "offered_load" => {
                 fields.amount("lost")?;
                 let proxy = ProxyId(fields.small("edge")?);
                 let class = ClassId(below(fields, "kind", self.classes)?);
-                let came = Came { calls: fields.amount("total")?, span: span(fields.amount("covers_ms")?)? };
-                self.pilot.came(now, proxy, class, came)
+                let came =
+                    DemandReport { calls: fields.amount("total")?, span: span(fields.amount("covers_ms")?)? };
+                self.pilot.demand_report(now, proxy, class, came)
             }
             "health" => {
                 fields.amount("spent_ms")?;
                 let end = match fields.text("state_code")? {
-                    "done" => ProbeEnd::Answered,
-                    "busy" | "ecanceled" | "skipped" => ProbeEnd::TurnedAway,
-                    "err" | "econnrefused" | "econnreset" => ProbeEnd::Failed,
-                    "etimedout" => ProbeEnd::Silent,
+                    "done" => ProbeOutcome::Answered,
+                    "busy" | "ecanceled" | "skipped" => ProbeOutcome::TurnedAway,
+                    "err" | "econnrefused" | "econnreset" => ProbeOutcome::Failed,
+                    "etimedout" => ProbeOutcome::Silent,
                     other => return Err(format!("health: unknown state_code '{other}'")),
                 };
                 let endpoint = self.endpoint(fields)?;
                 self.load(fields)?;
-                self.pilot.probed(now, endpoint, end)
+                self.pilot.probe_finished(now, endpoint, end)
             }
             "confirmed" => {
                 fields.amount("spent_ms")?;
-                self.pilot.confirmed(now, ProxyId(fields.small("edge")?), fields.small("rev")?)
+                self.pilot.acknowledged(now, ProxyId(fields.small("edge")?), fields.small("rev")?)
             }
             "whisper" => {
                 fields.small("src")?;
@@ -188,10 +190,10 @@
             reply.push(json!({"line": {
                 "who": who, "endpoint": name(endpoint), "route_table": table.0, "share": weight}}));
         }
-        for (table, classes, level, tries) in orders.levels {
+        for (table, classes, level, tries) in orders.admissions {
             let resend = match tries {
-                Tries::Once => 0,
-                Tries::AgainIfNeverRan => 1,
+                RetryPolicy::Never => 0,
+                RetryPolicy::IfNeverRan => 1,
             };
             reply.push(json!({"allow": {
                 "who": who, "route_table": table.0, "only": classes.0, "allowance": level,
@@ -201,7 +203,7 @@
             reply.push(json!({"bind": {
                 "who": who, "route_table": table.0, "only": classes.0, "edge": proxy.0}}));
         }
-        if let Some(mark) = orders.mark {
+        if let Some(mark) = orders.nonce {
             reply.push(json!({"seal": {"who": who, "rev": mark, "flag": false}}));
         }
         for endpoint in orders.probes {
--- a/crates/host/src/seat.rs
+++ b/crates/host/src/controller.rs
@@ -3,25 +3,25 @@
 use std::time::Duration;
 
 use dahliaroad::Pilot;
-use dahliaroad::interface::{EndpointId, Listed, Orders, Phase, ProbeEnd, ZoneId};
+use dahliaroad::interface::{EndpointId, EndpointState, EndpointUpdate, Orders, ProbeOutcome, ZoneId};
 use dahliaroad_fleet::{Fleet, Handed, Handover, SourceId, Standing, Verdict, Word};
 
 use crate::counters;
-use crate::roster::Roster;
+use crate::endpoint_ids::EndpointIds;
 
-pub struct Seat {
+pub struct Controller {
     pub pilot: Pilot,
-    pub roster: Roster,
+    pub endpoint_ids: EndpointIds,
     pub fleet: Fleet,
 }
 
-impl Seat {
-    pub fn new(pilot: Pilot, fleet: Fleet) -> Seat {
-        Seat { pilot, roster: Roster::default(), fleet }
+impl Controller {
+    pub fn new(pilot: Pilot, fleet: Fleet) -> Controller {
+        Controller { pilot, endpoint_ids: EndpointIds::default(), fleet }
     }
 
-    /// A source's word; what the module is to hear of it later goes by [`hand_over`](Seat::hand_over).
-    pub fn hear(&mut self, now: Duration, from: SourceId, word: Word) -> (Verdict, Orders) {
+    /// A source's word; what the module is to hear of it later goes by [`apply_due`](Controller::apply_due).
+    pub fn apply(&mut self, now: Duration, from: SourceId, word: Word) -> (Verdict, Orders) {
         let heard = self.fleet.hear(now, from, word);
         let counts = self.fleet.counts;
         let told = [
@@ -36,17 +36,23 @@
     }
 
     /// Tells the module what is due of what sources said.
-    pub fn hand_over(&mut self, now: Duration) -> Orders {
+    pub fn apply_due(&mut self, now: Duration) -> Orders {
         let handover = self.fleet.hand(now);
         counters::HELD.set(self.fleet.counts.held);
         handover.map_or_else(Orders::default, |handover| self.list(now, handover))
     }
 
     /// How a probe of this life ended: of the one that has the number now it says nothing, if that is another.
-    pub fn probed(&mut self, now: Duration, endpoint: EndpointId, life: u64, end: ProbeEnd) -> Orders {
-        let same = self.roster.life(endpoint) == life;
+    pub fn probe_finished(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointId,
+        life: u64,
+        end: ProbeOutcome,
+    ) -> Orders {
+        let same = self.endpoint_ids.life(endpoint) == life;
         counters::OUTLIVED.add(usize::from(!same));
-        self.pilot.probed(now, endpoint, if same { end } else { ProbeEnd::TurnedAway })
+        self.pilot.probe_finished(now, endpoint, if same { end } else { ProbeOutcome::TurnedAway })
     }
 
     /// What the decisions stand at, for the line of counters.
@@ -54,13 +60,13 @@
         let waiting = self.pilot.lines_waiting() as usize;
         counters::LINES_WAITING.set(waiting);
         counters::MOST_LINES_WAITING.raise(waiting);
-        let least = self.pilot.levels().iter().copied().fold(1.0, f64::min);
+        let least = self.pilot.admissions().iter().copied().fold(1.0, f64::min);
         counters::LEAST_LEVEL.set((least * 1000.0) as usize);
     }
 
     /// The level of each class, by name.
     pub fn tell_levels(&self, classes: &[String]) {
-        let levels = classes.iter().zip(self.pilot.levels());
+        let levels = classes.iter().zip(self.pilot.admissions());
         let levels: Vec<String> = levels.map(|(class, level)| format!("{class} {level:.2}")).collect();
         tracing::info!("levels: {}", levels.join(", "));
     }
@@ -83,35 +89,36 @@
 
     fn list(&mut self, now: Duration, handover: Handover) -> Orders {
         counters::LISTS.add(1);
-        let entries: Vec<Listed> = handover.entries.iter().filter_map(|handed| self.listed(handed)).collect();
-        let orders = self.pilot.list(now, handover.whole, &entries);
-        while let Some(gone) = self.pilot.give_back() {
-            self.roster.give_back(gone);
+        let entries: Vec<EndpointUpdate> =
+            handover.entries.iter().filter_map(|handed| self.listed(handed)).collect();
+        let orders = self.pilot.update_endpoints(now, handover.whole, &entries);
+        while let Some(gone) = self.pilot.release_endpoint_id() {
+            self.endpoint_ids.release(gone);
         }
         orders
     }
 
     /// One that is gone and was never numbered is none of the module's.
-    fn listed(&mut self, handed: &Handed) -> Option<Listed> {
+    fn listed(&mut self, handed: &Handed) -> Option<EndpointUpdate> {
         Some(match &handed.entry {
-            Some(entry) => Listed {
-                endpoint: self.roster.list(&handed.name, entry.dial, entry.life.started),
+            Some(entry) => EndpointUpdate {
+                endpoint: self.endpoint_ids.assign(&handed.name, entry.dial, entry.life.started),
                 zone: entry.zone,
                 kind: entry.kind,
                 weight: entry.weight,
                 started: entry.life.started,
-                phase: match entry.standing {
-                    Standing::Running => Phase::Running,
-                    Standing::Aside | Standing::Draining => Phase::Draining,
+                state: match entry.standing {
+                    Standing::Running => EndpointState::Running,
+                    Standing::Aside | Standing::Draining => EndpointState::Draining,
                 },
             },
-            None => Listed {
-                endpoint: self.roster.find(&handed.name)?,
+            None => EndpointUpdate {
+                endpoint: self.endpoint_ids.find(&handed.name)?,
                 zone: ZoneId(0),
                 kind: 0,
                 weight: 0.0,
                 started: None,
-                phase: Phase::Gone,
+                state: EndpointState::Gone,
             },
         })
     }
--- a/crates/host/src/roster.rs
+++ b/crates/host/src/endpoint_ids.rs
@@ -11,7 +11,7 @@
 
 /// The numbers that endpoints' names stand under, and where each listens.
 #[derive(Default)]
-pub struct Roster {
+pub struct EndpointIds {
     numbers: HashMap<Arc<str>, u32>,
     names: Vec<Arc<str>>,
     dials: Vec<Option<SocketAddr>>,
@@ -22,12 +22,12 @@
     free: BTreeSet<u32>,
 }
 
-impl Roster {
+impl EndpointIds {
     pub fn find(&self, name: &str) -> Option<EndpointId> {
         self.numbers.get(name).copied().map(EndpointId)
     }
 
-    pub fn list(&mut self, name: &str, dial: Option<SocketAddr>, started: Option<Duration>) -> EndpointId {
+    pub fn assign(&mut self, name: &str, dial: Option<SocketAddr>, started: Option<Duration>) -> EndpointId {
         let number = self.find(name).unwrap_or_else(|| {
             let (number, name) = (self.free.pop_first(), Arc::<str>::from(name));
             let number = number.unwrap_or(self.names.len() as u32);
@@ -46,7 +46,7 @@
         number
     }
 
-    pub fn give_back(&mut self, endpoint: EndpointId) {
+    pub fn release(&mut self, endpoint: EndpointId) {
         counters::GIVEN_BACK.add(1);
         self.numbers.remove(&self.names[endpoint.0 as usize]);
         self.dials[endpoint.0 as usize] = None;
@@ -74,19 +74,19 @@
 
     #[test]
     fn another_start_another_address_and_another_name_under_the_number_are_other_lives() {
-        let mut roster = Roster::default();
+        let mut endpoint_ids = EndpointIds::default();
         let (here, there) = (Some("127.0.0.1:1".parse().unwrap()), Some("127.0.0.1:2".parse().unwrap()));
         let (start, again) = (Some(Duration::from_secs(1)), Some(Duration::from_secs(2)));
-        let e = roster.list("a", here, start);
-        let mut lives = vec![roster.life(e)];
+        let e = endpoint_ids.assign("a", here, start);
+        let mut lives = vec![endpoint_ids.life(e)];
         for (name, dial, started) in [("a", here, again), ("a", there, again), ("b", there, again)] {
             if name == "b" {
-                roster.give_back(e);
+                endpoint_ids.release(e);
             }
-            assert_eq!(roster.list(name, dial, started), e);
-            lives.push(roster.life(e));
-            assert_eq!(roster.list(name, None, started), e);
-            assert_eq!(roster.life(e), lives[lives.len() - 1]);
+            assert_eq!(endpoint_ids.assign(name, dial, started), e);
+            lives.push(endpoint_ids.life(e));
+            assert_eq!(endpoint_ids.assign(name, None, started), e);
+            assert_eq!(endpoint_ids.life(e), lives[lives.len() - 1]);
         }
         lives.dedup();
         assert_eq!(lives.len(), 4);
--- a/crates/host/src/desk.rs
+++ b/crates/host/src/inbox.rs
@@ -5,30 +5,30 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dahliaroad::interface::{EndpointId, Orders, ProbeEnd};
+use dahliaroad::interface::{EndpointId, Orders, ProbeOutcome};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::controller::Controller;
 use crate::counters;
-use crate::roster::Roster;
-use crate::seat::Seat;
+use crate::endpoint_ids::EndpointIds;
 
 /// Inputs that may wait; more than a second's sums, so that a burst does not slow its collector down.
 const WAITING: usize = 1024;
 /// Inputs taken up in one turn, so that a flood cannot put the timers off.
 const A_TURN: usize = 4096;
-/// The module asks to be woken; should it ever not, it is all the same.
+/// The module asks for its timer; should it ever not, it is called after this long all the same.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
 /// Where orders go: it writes them out and keeps what cannot go yet, and holds nobody up.
-pub trait Front {
-    fn send(&self, orders: &Orders, roster: &Roster);
+pub trait OrderSink {
+    fn send(&self, orders: &Orders, endpoint_ids: &EndpointIds);
 
     /// All that was ordered at one moment is in: it may go.
     fn release(&self);
 }
 
-/// A question to one life of an endpoint, to be answered by [`Seat::probed`] exactly once.
+/// A question to one life of an endpoint, to be answered by [`Controller::probe_finished`] exactly once.
 pub struct Probe {
     pub endpoint: EndpointId,
     pub life: u64,
@@ -36,19 +36,19 @@
 }
 
 /// What a peer's task hands in: it calls a method of the module at the time given.
-pub type Call = Box<dyn FnOnce(&mut Seat, Duration) -> Orders>;
+pub type Input = Box<dyn FnOnce(&mut Controller, Duration) -> Orders>;
 
 /// The way to the module, for the tasks of the peers.
 #[derive(Clone)]
-pub struct Desk(mpsc::Sender<Call>);
+pub struct Inbox(mpsc::Sender<Input>);
 
-impl Desk {
-    pub fn open() -> (Desk, mpsc::Receiver<Call>) {
+impl Inbox {
+    pub fn open() -> (Inbox, mpsc::Receiver<Input>) {
         let (sender, receiver) = mpsc::channel(WAITING);
-        (Desk(sender), receiver)
+        (Inbox(sender), receiver)
     }
 
-    pub async fn tell(&self, call: Call) {
+    pub async fn tell(&self, call: Input) {
         // The receiver lives as long as the program.
         let _ = self.0.send(call).await;
     }
@@ -79,17 +79,17 @@
 /// Takes up what came in together in one turn, as its orders make one message to each proxy; turns are at
 /// least `turn` apart.
 pub async fn run(
-    mut seat: Seat,
-    mut calls: mpsc::Receiver<Call>,
-    front: Rc<impl Front>,
+    mut controller: Controller,
+    mut calls: mpsc::Receiver<Input>,
+    front: Rc<impl OrderSink>,
     probes: mpsc::Sender<Probe>,
     turn: Duration,
 ) {
     let clock = Clock::new();
     let mut wake_at = Instant::now();
-    let mut taken: Vec<Call> = Vec::new();
+    let mut taken: Vec<Input> = Vec::new();
     loop {
-        let hand_at = seat.fleet.due().map_or(wake_at, |due| clock.at(due)).min(wake_at);
+        let hand_at = controller.fleet.due().map_or(wake_at, |due| clock.at(due)).min(wake_at);
         tokio::select! {
             _ = calls.recv_many(&mut taken, A_TURN) => {
                 sleep(turn).await;
@@ -104,29 +104,32 @@
         let now = clock.read();
         if wake_at <= Instant::now() {
             wake_at = Instant::now() + LONGEST_SLEEP;
-            taken.push(Box::new(|seat, now| seat.pilot.woken(now)));
+            taken.push(Box::new(|controller, now| controller.pilot.on_timer(now)));
         }
-        taken.push(Box::new(Seat::hand_over));
+        taken.push(Box::new(Controller::apply_due));
         while !taken.is_empty() {
             for call in std::mem::take(&mut taken) {
-                let orders = call(&mut seat, now);
-                front.send(&orders, &seat.roster);
+                let orders = call(&mut controller, now);
+                front.send(&orders, &controller.endpoint_ids);
                 // The list need not be asked for: a watch stands all the time.
                 orders.notes.iter().for_each(|note| tracing::info!("{note}"));
                 wake_at = orders.wake_after.map_or(wake_at, |after| Instant::now() + after);
                 for endpoint in orders.probes {
-                    let life = seat.roster.life(endpoint);
-                    let probe = seat.roster.dial(endpoint).map(|dial| Probe { endpoint, life, dial });
+                    let life = controller.endpoint_ids.life(endpoint);
+                    let probe =
+                        controller.endpoint_ids.dial(endpoint).map(|dial| Probe { endpoint, life, dial });
                     // One that cannot be sent ends at once: each has exactly one result.
                     if probe.is_none_or(|probe| probes.try_send(probe).is_err()) {
-                        let end = ProbeEnd::TurnedAway;
-                        taken.push(Box::new(move |seat, now| seat.pilot.probed(now, endpoint, end)));
+                        let end = ProbeOutcome::TurnedAway;
+                        taken.push(Box::new(move |controller, now| {
+                            controller.pilot.probe_finished(now, endpoint, end)
+                        }));
                     }
                 }
             }
         }
         front.release();
         counters::LONGEST_TURN.raise(begun.elapsed().as_millis() as usize);
-        seat.tell_counters();
+        controller.tell_counters();
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,11 +1,11 @@
 //! Owns the module, its timers and what is known of the fleet. Sources and peers hand in calls through a
-//! [`Desk`]; orders leave through a [`Front`]. Neither a peer nor a protocol is known here.
+//! [`Inbox`]; orders leave through a [`OrderSink`]. Neither a peer nor a protocol is known here.
 
+mod controller;
 pub mod counters;
-mod desk;
-mod roster;
-mod seat;
+mod endpoint_ids;
+mod inbox;
 
-pub use desk::{Call, Desk, Front, Probe, run};
-pub use roster::Roster;
-pub use seat::Seat;
+pub use controller::Controller;
+pub use endpoint_ids::EndpointIds;
+pub use inbox::{Inbox, Input, OrderSink, Probe, run};
--- a/crates/opening/src/settings.rs
+++ b/crates/opening/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dahliaroad::interface::{ClassTerms, Deployment, LevelUnit};
+use dahliaroad::interface::{AdmissionUnit, ClassSettings, Deployment};
 use serde_json::Value;
 
 use crate::fields::{Fields, Res};
@@ -45,9 +45,13 @@
     fields.optional(key).map_or(Ok(Duration::ZERO), |_| span_field(fields, key))
 }
 
-fn class_terms(value: &Value, own_zone: bool) -> Res<ClassTerms> {
+fn class_terms(value: &Value, own_zone: bool) -> Res<ClassSettings> {
     let class = Fields::of("classes", value)?;
-    Ok(ClassTerms { latency_goal: span_field(class, "on_time_ms")?, value: class.number("worth")?, own_zone })
+    Ok(ClassSettings {
+        latency_objective: span_field(class, "on_time_ms")?,
+        value: class.number("worth")?,
+        own_zone,
+    })
 }
 
 /// What the decisions could hold: sets of classes are bits of one number, proxies and tables go by numbers below 65,536.
@@ -83,10 +87,10 @@
         homed: domain.flag("homed_by_zone")?,
         zones: settings.within("zones", zones.len(), 1..=MOST_ZONES)?,
         classes: terms.collect::<Res<_>>()?,
-        level_unit: match domain.text("admit")? {
-            "ratio" => LevelUnit::Share,
-            "rps" => LevelUnit::CallsPerSecond,
-            "silent" => LevelUnit::Ignored,
+        admission_unit: match domain.text("admit")? {
+            "ratio" => AdmissionUnit::Share,
+            "rps" => AdmissionUnit::CallsPerSecond,
+            "silent" => AdmissionUnit::Ignored,
             other => return Err(format!("domain: unknown admit '{other}'")),
         },
         sliced: slices > 0,
--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dahliaroad::interface::{Came, ClassId, LoadReport, Met, Orders, ProxyId, ZoneId};
-use dahliaroad_host::{Call, Desk};
+use dahliaroad::interface::{ClassId, DemandReport, EndpointReport, LoadReport, Orders, ProxyId, ZoneId};
+use dahliaroad_host::{Inbox, Input};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -99,7 +99,7 @@
         Some(calls)
     }
 
-    fn admit_outcomes(self, terms: &Terms) -> Option<Call> {
+    fn admit_outcomes(self, terms: &Terms) -> Option<Input> {
         let zone = ZoneId(place(&terms.zones, &self.locality)?);
         // Tries are told of as they end, so that none fails that is not among them.
         let (tries, failed, span_of_sums) = self.calls().filter(|(tries, failed, _)| failed <= tries)?;
@@ -110,10 +110,10 @@
             None => None,
         };
         let (answer_time, load) = (span(rtt, LONGEST_ANSWER)?, LoadReport { busy });
-        let met = Met { tries, failed, answer_time, span: span_of_sums, load };
+        let met = EndpointReport { tries, failed, answer_time, span: span_of_sums, load };
         let name = self.endpoint.filter(|name| name.len() <= LONGEST_NAME)?.into_owned();
-        Some(Box::new(move |seat, now| match seat.roster.find(&name) {
-            Some(endpoint) => seat.pilot.met(now, zone, endpoint, met),
+        Some(Box::new(move |controller, now| match controller.endpoint_ids.find(&name) {
+            Some(endpoint) => controller.pilot.endpoint_report(now, zone, endpoint, met),
             // Numbers are for what discovery lists, or anyone could fill them up.
             None => {
                 counters::UNLISTED.add(1);
@@ -122,11 +122,13 @@
         }))
     }
 
-    fn admit_demand(self, terms: &Terms) -> Option<Call> {
+    fn admit_demand(self, terms: &Terms) -> Option<Input> {
         let proxy = ProxyId(self.node.filter(|node| *node < terms.proxies)?);
         let class = ClassId(place(&terms.classes, &self.route)?);
         let (calls, _, span) = self.calls()?;
-        Some(Box::new(move |seat, now| seat.pilot.came(now, proxy, class, Came { calls, span })))
+        Some(Box::new(move |controller, now| {
+            controller.pilot.demand_report(now, proxy, class, DemandReport { calls, span })
+        }))
     }
 }
 
@@ -134,7 +136,7 @@
 enum Word {
     Question,
     Zone,
-    Sums(Call),
+    Sums(Input),
 }
 
 /// `None` for JSON that tells nothing of this deployment; after what is no JSON at all, nothing that follows can
@@ -184,7 +186,7 @@
     Ok(Some(buffer))
 }
 
-async fn serve(stream: &mut TcpStream, visit: &Visit, terms: &Terms, desk: &Desk) -> io::Result<()> {
+async fn serve(stream: &mut TcpStream, visit: &Visit, terms: &Terms, inbox: &Inbox) -> io::Result<()> {
     let (mut buffer, mut spoilt) = (Vec::new(), 0);
     let mut first_by = Some(Instant::now() + WITHIN);
     loop {
@@ -205,7 +207,7 @@
                 visit.make_known();
                 spoilt = 0;
                 counters::SUMS.add(1);
-                desk.tell(call).await;
+                inbox.tell(call).await;
             }
             // One spoilt message says nothing about those around it.
             None if visit.is_known() && spoilt < SPOILT_IN_A_ROW => {
@@ -281,7 +283,7 @@
     }
 }
 
-pub async fn listen(listener: TcpListener, terms: Terms, limits: Limits, desk: Desk) {
+pub async fn listen(listener: TcpListener, terms: Terms, limits: Limits, inbox: Inbox) {
     // A quarter of the descriptors each for strangers and collectors; frames may be twice as large in memory.
     let (most, room) = (limits.sockets / 4, (limits.memory / 16).max(LONGEST as usize));
     let house = House { visits: 0, strangers: BTreeMap::new(), known: BTreeMap::new(), room, most };
@@ -305,9 +307,9 @@
             counters::STRANGERS.add(1);
         }
         let visit = Visit { number, house: house.clone() };
-        let (terms, desk) = (terms.clone(), desk.clone());
+        let (terms, inbox) = (terms.clone(), inbox.clone());
         let task = spawn_local(async move {
-            if let Err(error) = serve(&mut stream, &visit, &terms, &desk).await {
+            if let Err(error) = serve(&mut stream, &visit, &terms, &inbox).await {
                 let silent = error.kind() == io::ErrorKind::TimedOut;
                 if silent { &counters::STRANGERS } else { &counters::BROKEN }.add(1);
                 counters::BAD.add(usize::from(error.kind() == io::ErrorKind::InvalidData));
--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dahliaroad_fleet::{Epoch, Places, SourceId};
-use dahliaroad_host::Desk;
+use dahliaroad_host::Inbox;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode, header};
@@ -100,7 +100,7 @@
 pub struct Watch {
     address: Address,
     places: Rc<Places>,
-    desk: Desk,
+    inbox: Inbox,
     source: SourceId,
     /// Counted up where versions go back.
     epoch: Epoch,
@@ -119,14 +119,14 @@
     pub fn new(
         address: Address,
         places: Rc<Places>,
-        desk: Desk,
+        inbox: Inbox,
         source: SourceId,
         seq: Option<u64>,
         chance: ChaCha8Rng,
     ) -> Watch {
         let pause = |longest| Pause::new(FIRST_PAUSE, longest, chance.clone());
         let (pause, doubt) = (pause(LONGEST_PAUSE), pause(LONGEST_DOUBT));
-        Watch { address, places, desk, source, epoch: Epoch(0), seq, pause, reread: None, doubt }
+        Watch { address, places, inbox, source, epoch: Epoch(0), seq, pause, reread: None, doubt }
     }
 
     fn question(&self) -> Question {
@@ -194,7 +194,7 @@
     /// Hands a list on to the module; tells whether all of it could be read.
     pub async fn route(&self, list: &ListMessage) -> bool {
         let (source, (word, readable)) = (self.source, list.admit(&self.places, self.epoch));
-        self.desk.tell(Box::new(move |seat, now| seat.hear(now, source, word).1)).await;
+        self.inbox.tell(Box::new(move |controller, now| controller.apply(now, source, word).1)).await;
         readable
     }
 
@@ -203,7 +203,7 @@
             if let Err(error) = self.hear().await {
                 counters::WATCHES_LOST.add(1);
                 tracing::warn!("discovery: {error}");
-                self.desk.tell(Box::new(|seat, now| seat.pilot.list_failed(now))).await;
+                self.inbox.tell(Box::new(|controller, now| controller.pilot.endpoint_list_failed(now))).await;
             }
             self.pause.take().await;
         }
--- a/crates/pilot/src/endpoints.rs
+++ b/crates/pilot/src/endpoints.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dahliaroad::interface::ProbeEnd;
-use dahliaroad_host::{Desk, Probe};
+use dahliaroad::interface::ProbeOutcome;
+use dahliaroad_host::{Inbox, Probe};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
@@ -24,15 +24,15 @@
 /// Probes under way; each holds a descriptor, and all of them a quarter of the pilot's at most.
 const AT_ONCE: usize = 128;
 
-async fn ask(dial: SocketAddr, connect_within: Duration) -> ProbeEnd {
+async fn ask(dial: SocketAddr, connect_within: Duration) -> ProbeOutcome {
     let Ok(Ok(stream)) = timeout(connect_within, TcpStream::connect(dial)).await else {
-        return ProbeEnd::Failed;
+        return ProbeOutcome::Failed;
     };
     let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
-        return ProbeEnd::Failed;
+        return ProbeOutcome::Failed;
     };
     let request = Request::get("/health/live").header(header::HOST, dial.to_string());
-    let Ok(request) = request.body(Empty::<Bytes>::new()) else { return ProbeEnd::Failed };
+    let Ok(request) = request.body(Empty::<Bytes>::new()) else { return ProbeOutcome::Failed };
     let answer = async {
         let mut answer = std::pin::pin!(sender.send_request(request));
         tokio::select! {
@@ -44,28 +44,35 @@
     };
     let sent = Instant::now();
     match timeout(ANSWER_WITHIN, answer).await {
-        Ok(Some(answer)) if answer.status() == StatusCode::OK => ProbeEnd::Answered,
+        Ok(Some(answer)) if answer.status() == StatusCode::OK => ProbeOutcome::Answered,
         Ok(Some(answer)) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
-            if sent.elapsed() < REFUSED_WITHIN { ProbeEnd::Refused } else { ProbeEnd::Silent }
+            if sent.elapsed() < REFUSED_WITHIN { ProbeOutcome::Refused } else { ProbeOutcome::Silent }
         }
-        Ok(_) => ProbeEnd::Failed,
-        Err(_) => ProbeEnd::Silent,
+        Ok(_) => ProbeOutcome::Failed,
+        Err(_) => ProbeOutcome::Silent,
     }
 }
 
-pub async fn probe(mut probes: mpsc::Receiver<Probe>, connect_within: Duration, limits: Limits, desk: Desk) {
+pub async fn probe(
+    mut probes: mpsc::Receiver<Probe>,
+    connect_within: Duration,
+    limits: Limits,
+    inbox: Inbox,
+) {
     // Settings that name no limit for a connection must not make every probe a failed one.
     let connect_within = if connect_within.is_zero() { ANSWER_WITHIN } else { connect_within };
     let room = std::sync::Arc::new(Semaphore::new(AT_ONCE.min(limits.sockets / 4)));
     while let Some(Probe { endpoint, life, dial }) = probes.recv().await {
         let Ok(permit) = room.clone().acquire_owned().await else { return };
-        let desk = desk.clone();
+        let inbox = inbox.clone();
         tokio::task::spawn_local(async move {
             counters::PROBES.add(1);
             let end = ask(dial, connect_within).await;
             drop(permit);
-            counters::PROBES_ANSWERED.add(usize::from(end == ProbeEnd::Answered));
-            desk.tell(Box::new(move |seat, now| seat.probed(now, endpoint, life, end))).await;
+            counters::PROBES_ANSWERED.add(usize::from(end == ProbeOutcome::Answered));
+            inbox
+                .tell(Box::new(move |controller, now| controller.probe_finished(now, endpoint, life, end)))
+                .await;
         });
     }
 }
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -21,7 +21,7 @@
 use dahliaroad::Pilot;
 use dahliaroad::interface::Orders;
 use dahliaroad_fleet::{Fleet, Places, SourceId, SourceTerms, Verdict, Word};
-use dahliaroad_host::{Desk, Seat};
+use dahliaroad_host::{Controller, Inbox};
 use dahliaroad_options::Options;
 use discovery::Watch;
 use lists::ListMessage;
@@ -53,14 +53,15 @@
 }
 
 /// What a source says goes to the fleet at the module's side, which answers what became of it.
-async fn tell(desk: Desk, source: SourceId, word: Word) -> Verdict {
+async fn tell(inbox: Inbox, source: SourceId, word: Word) -> Verdict {
     let (answer, answered) = oneshot::channel();
-    desk.tell(Box::new(move |seat, now| {
-        let (verdict, orders) = seat.hear(now, source, word);
-        let _ = answer.send(verdict);
-        orders
-    }))
-    .await;
+    inbox
+        .tell(Box::new(move |controller, now| {
+            let (verdict, orders) = controller.apply(now, source, word);
+            let _ = answer.send(verdict);
+            orders
+        }))
+        .await;
     answered.await.unwrap_or(Verdict::Taken)
 }
 
@@ -127,18 +128,18 @@
     let (zones, classes) = (opening.zones, opening.classes);
     let proxies = opening.deployment.proxies as u32;
     let outbox = Rc::new(Outbox::new(classes.clone(), stamps.next_u32()));
-    let (desk, calls) = Desk::open();
+    let (inbox, calls) = Inbox::open();
     let (probes, probes_waiting) = mpsc::channel(PROBES_WAITING);
-    let seat = Seat::new(Pilot::new(opening.deployment), fleet);
+    let controller = Controller::new(Pilot::new(opening.deployment), fleet);
     let places = Places { zones: zones.clone(), kinds: opening.kinds };
     let terms = relay::Terms { zones: zones.clone(), proxies };
-    let joined = relay::Joined::new(renewal.relay(), terms, outbox.clone(), desk.clone());
+    let joined = relay::Joined::new(renewal.relay(), terms, outbox.clone(), inbox.clone());
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(dahliaroad_host::run(seat, calls, outbox.clone(), probes, opening.turn));
+    tasks.spawn_local(dahliaroad_host::run(controller, calls, outbox.clone(), probes, opening.turn));
     if let Some(source) = platform {
         let base = known.as_ref().and_then(ListMessage::base);
         let places = Rc::new(places.clone());
-        let watch = Watch::new(renewal.discovery(), places, desk.clone(), source, base, watch_chance);
+        let watch = Watch::new(renewal.discovery(), places, inbox.clone(), source, base, watch_chance);
         // What was last known of the list stands until discovery has answered.
         if let Some(known) = known {
             watch.route(&known).await;
@@ -147,15 +148,15 @@
     }
     let tallies = Rc::new(Tallies::default());
     for plan in plans {
-        let (desk, source) = (desk.clone(), plan.source);
-        let tell = async move |word| tell(desk.clone(), source, word).await;
+        let (inbox, source) = (inbox.clone(), plan.source);
+        let tell = async move |word| tell(inbox.clone(), source, word).await;
         tasks.spawn_local(plan.follow(seed, places.clone(), tallies.clone(), tell));
     }
-    tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, limits, desk.clone()));
-    tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, desk.clone(), calls_chance));
+    tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, limits, inbox.clone()));
+    tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, inbox.clone(), calls_chance));
     tasks.spawn_local(joined.follow(news_chance));
     let terms = collectors::Terms { zones, classes: classes.clone(), proxies };
-    tasks.spawn_local(collectors::listen(listener, terms, limits, desk.clone()));
+    tasks.spawn_local(collectors::listen(listener, terms, limits, inbox.clone()));
     loop {
         let Signals { terminate, interrupt, ask, renew } = signals;
         tokio::select! {
@@ -165,9 +166,9 @@
             _ = ask.recv() => {
                 tracing::info!("{}", counters::line());
                 let classes = classes.clone();
-                let told = desk.tell(Box::new(move |seat, now| {
-                    seat.tell_sources(now);
-                    seat.tell_levels(&classes);
+                let told = inbox.tell(Box::new(move |controller, now| {
+                    controller.tell_sources(now);
+                    controller.tell_levels(&classes);
                     Orders::default()
                 }));
                 // A full inbox keeps nobody from ending the program.
--- a/crates/pilot/src/relay/calls.rs
+++ b/crates/pilot/src/relay/calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::Orders;
-use dahliaroad_host::Desk;
+use dahliaroad_host::Inbox;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde_json::Value;
@@ -113,7 +113,7 @@
 /// The orders' way out.
 struct Courier {
     outbox: Rc<Outbox>,
-    desk: Desk,
+    inbox: Inbox,
     pause: Pause,
     /// Before what was put aside is tried again, and when it is.
     aside: Pause,
@@ -185,9 +185,9 @@
                 let mark = batch.mark;
                 outbox.put_back_doubtful(batch);
                 if let Some(mark) = mark {
-                    self.desk
-                        .tell(Box::new(move |seat, now| {
-                            seat.pilot.repeated(now, mark);
+                    self.inbox
+                        .tell(Box::new(move |controller, now| {
+                            controller.pilot.orders_repeated(now, mark);
                             Orders::default()
                         }))
                         .await;
@@ -198,12 +198,12 @@
     }
 }
 
-pub async fn carry_out(address: Address, outbox: Rc<Outbox>, desk: Desk, chance: ChaCha8Rng) {
+pub async fn carry_out(address: Address, outbox: Rc<Outbox>, inbox: Inbox, chance: ChaCha8Rng) {
     let mut caller = Caller { address, link: None, id: 0 };
     let pause = |longest| Pause::new(FIRST_PAUSE, longest, chance.clone());
     let mut courier = Courier {
         outbox: outbox.clone(),
-        desk,
+        inbox,
         pause: pause(LONGEST_PAUSE),
         aside: pause(LONGEST_ASIDE),
         aside_until: Instant::now(),
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::{Orders, ProxyId, ZoneId};
-use dahliaroad_host::{Desk, Seat};
+use dahliaroad_host::{Controller, Inbox};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
@@ -75,7 +75,7 @@
     address: Address,
     terms: Terms,
     outbox: Rc<Outbox>,
-    desk: Desk,
+    inbox: Inbox,
     proxies: BTreeSet<u32>,
     /// What stands, since the last subscription and until all of it has been told.
     standing: Option<Standing>,
@@ -100,8 +100,8 @@
 }
 
 impl Joined {
-    pub fn new(address: Address, terms: Terms, outbox: Rc<Outbox>, desk: Desk) -> Joined {
-        Joined { address, terms, outbox, desk, proxies: BTreeSet::new(), standing: None }
+    pub fn new(address: Address, terms: Terms, outbox: Rc<Outbox>, inbox: Inbox) -> Joined {
+        Joined { address, terms, outbox, inbox, proxies: BTreeSet::new(), standing: None }
     }
 
     async fn left(&mut self, proxy: u32) {
@@ -109,11 +109,11 @@
             counters::LEFT.add(1);
             // In its turn: what the module ordered for it before is in the outbox only then.
             let outbox = self.outbox.clone();
-            let left = move |seat: &mut Seat, now| {
+            let left = move |controller: &mut Controller, now| {
                 outbox.forget(proxy);
-                seat.pilot.left(now, ProxyId(proxy))
+                controller.pilot.proxy_left(now, ProxyId(proxy))
             };
-            self.desk.tell(Box::new(left)).await;
+            self.inbox.tell(Box::new(left)).await;
         }
     }
 
@@ -144,9 +144,9 @@
         if standing && self.proxies.contains(&node) {
             // It may have left and come again unheard, and be bound to none of our tables then.
             counters::DOUBTED.add(1);
-            self.desk
-                .tell(Box::new(move |seat, _| {
-                    seat.pilot.doubted(proxy);
+            self.inbox
+                .tell(Box::new(move |controller, _| {
+                    controller.pilot.proxy_in_doubt(proxy);
                     Orders::default()
                 }))
                 .await;
@@ -156,7 +156,9 @@
         self.left(node).await;
         self.proxies.insert(node);
         counters::JOINED.add(1);
-        self.desk.tell(Box::new(move |seat, now| seat.pilot.joined(now, proxy, zone, rate))).await;
+        self.inbox
+            .tell(Box::new(move |controller, now| controller.pilot.proxy_joined(now, proxy, zone, rate)))
+            .await;
         Some(())
     }
 
@@ -172,9 +174,10 @@
                 if node < self.terms.proxies =>
             {
                 if let Some(mark) = self.outbox.confirmed(stamp) {
-                    let confirmed =
-                        move |seat: &mut Seat, now| seat.pilot.confirmed(now, ProxyId(node), mark);
-                    self.desk.tell(Box::new(confirmed)).await;
+                    let confirmed = move |controller: &mut Controller, now| {
+                        controller.pilot.acknowledged(now, ProxyId(node), mark)
+                    };
+                    self.inbox.tell(Box::new(confirmed)).await;
                 }
                 Some(())
             }
--- a/crates/pilot/src/relay/outbox.rs
+++ b/crates/pilot/src/relay/outbox.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use dahliaroad::interface::{ClassSet, Orders, Tries};
-use dahliaroad_host::{Front, Roster};
+use dahliaroad::interface::{ClassSet, Orders, RetryPolicy};
+use dahliaroad_host::{EndpointIds, OrderSink};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
@@ -236,18 +236,18 @@
     }
 }
 
-impl Front for Outbox {
-    fn send(&self, orders: &Orders, roster: &Roster) {
+impl OrderSink for Outbox {
+    fn send(&self, orders: &Orders, endpoint_ids: &EndpointIds) {
         for &(table, endpoint, weight) in &orders.weights {
-            let name = roster.name(endpoint);
+            let name = endpoint_ids.name(endpoint);
             let order = json!({"verb": "share", "cluster": table.0, "endpoint": &*name, "w": weight});
             // Where the relay never heard of an endpoint there is nothing to take out.
             self.put(Target::Line(table.0, name), &order, weight > 0.0);
         }
-        for &(table, classes, level, tries) in &orders.levels {
+        for &(table, classes, level, tries) in &orders.admissions {
             let again = match tries {
-                Tries::Once => 0,
-                Tries::AgainIfNeverRan => 1,
+                RetryPolicy::Never => 0,
+                RetryPolicy::IfNeverRan => 1,
             };
             let mut order = json!({"verb": "admit", "cluster": table.0, "gate": level, "again": again});
             self.name_classes(classes, &mut order);
@@ -259,8 +259,8 @@
             // Its proxy has left: bound anew when it comes.
             self.put(Target::Binding(proxy.0, classes.0), &order, false);
         }
-        if orders.mark.is_some() {
-            self.mark.set(orders.mark);
+        if orders.nonce.is_some() {
+            self.mark.set(orders.nonce);
             // Its stamp is the call's.
             self.put(Target::Mark, &Value::Null, false);
         }
@@ -278,17 +278,17 @@
     use super::*;
     use dahliaroad::interface::{EndpointId, ProxyId, TableId};
 
-    fn roster(size: u32) -> Roster {
-        let mut roster = Roster::default();
+    fn endpoint_ids(size: u32) -> EndpointIds {
+        let mut endpoint_ids = EndpointIds::default();
         for e in 0..size {
-            roster.list(&format!("s-{e:08x}"), None, None);
+            endpoint_ids.assign(&format!("s-{e:08x}"), None, None);
         }
-        roster
+        endpoint_ids
     }
 
     fn weights(entries: &[(u32, u32, f64)], mark: u32) -> Orders {
         let line = |&(table, endpoint, weight)| (TableId(table), EndpointId(endpoint), weight);
-        Orders { weights: entries.iter().map(line).collect(), mark: Some(mark), ..Orders::default() }
+        Orders { weights: entries.iter().map(line).collect(), nonce: Some(mark), ..Orders::default() }
     }
 
     fn texts(batch: &Batch) -> Vec<Value> {
@@ -297,10 +297,10 @@
 
     #[test]
     fn of_orders_that_waited_only_the_last_for_the_same_goes_out_and_what_failed_gives_way_to_it() {
-        let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(3));
-        outbox.send(&weights(&[(0, 0, 1.0), (0, 1, 2.0)], 1), &roster);
+        let (outbox, endpoint_ids) = (Outbox::new(vec!["a".into(), "b".into()], 0), endpoint_ids(3));
+        outbox.send(&weights(&[(0, 0, 1.0), (0, 1, 2.0)], 1), &endpoint_ids);
         let lost = outbox.take_call(usize::MAX).expect("orders");
-        outbox.send(&weights(&[(0, 1, 0.0)], 2), &roster);
+        outbox.send(&weights(&[(0, 1, 0.0)], 2), &endpoint_ids);
         outbox.put_back(lost.orders);
         let batch = outbox.take_call(usize::MAX).expect("orders");
         let share = |e: &str, w: f64| json!({"verb": "share", "cluster": 0, "endpoint": e, "w": w});
@@ -311,9 +311,9 @@
 
     #[test]
     fn what_exceeds_a_call_follows_in_the_next_under_the_same_mark_and_none_is_lost() {
-        let (outbox, roster) = (Outbox::new(vec!["a".into()], STAMPS - 1), roster(400));
+        let (outbox, endpoint_ids) = (Outbox::new(vec!["a".into()], STAMPS - 1), endpoint_ids(400));
         let lines: Vec<(u32, u32, f64)> = (0..1600).map(|n| (n / 400, n % 400, 0.25)).collect();
-        outbox.send(&weights(&lines, 7), &roster);
+        outbox.send(&weights(&lines, 7), &endpoint_ids);
         let (mut seen, mut stamps) = (0, Vec::new());
         while let Some(batch) = outbox.take_call(usize::MAX) {
             let bytes: usize = batch.orders.iter().map(|(_, written)| written.bytes.len() + 1).sum();
@@ -333,13 +333,13 @@
 
     fn bindings(proxies: &[u32], mark: u32) -> Orders {
         let bindings = proxies.iter().map(|proxy| (ProxyId(*proxy), TableId(0), ClassSet(2))).collect();
-        Orders { bindings, mark: Some(mark), ..Orders::default() }
+        Orders { bindings, nonce: Some(mark), ..Orders::default() }
     }
 
     #[test]
     fn a_proxy_that_left_is_not_bound_be_its_binding_waiting_or_under_way() {
-        let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(1));
-        outbox.send(&bindings(&[3, 4], 5), &roster);
+        let (outbox, endpoint_ids) = (Outbox::new(vec!["a".into(), "b".into()], 0), endpoint_ids(1));
+        outbox.send(&bindings(&[3, 4], 5), &endpoint_ids);
         outbox.forget(3);
         let batch = outbox.take_call(usize::MAX).expect("orders");
         assert_eq!(texts(&batch)[0], json!({"verb": "bind", "node": 4, "cluster": 0, "for": ["b"]}));
@@ -349,7 +349,7 @@
         let batch = outbox.take_call(usize::MAX).expect("the mark");
         assert_eq!(batch.orders.len(), 1);
         // Bound anew, it is again sent what is put back.
-        outbox.send(&bindings(&[4], 6), &roster);
+        outbox.send(&bindings(&[4], 6), &endpoint_ids);
         let batch = outbox.take_call(usize::MAX).expect("orders");
         outbox.put_back(batch.orders);
         assert_eq!(outbox.take_call(usize::MAX).expect("orders").orders.len(), 2);
@@ -357,15 +357,15 @@
 
     #[test]
     fn a_confirmation_proves_the_call_of_its_stamp_alone() {
-        let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(1));
-        outbox.send(&bindings(&[3], 5), &roster);
+        let (outbox, endpoint_ids) = (Outbox::new(vec!["a".into(), "b".into()], 0), endpoint_ids(1));
+        outbox.send(&bindings(&[3], 5), &endpoint_ids);
         let first = outbox.take_call(usize::MAX).expect("orders");
         assert_eq!(outbox.confirmed(STAMPS - 1), None);
         assert!(!outbox.proved());
         // Its answer is lost, and what is put back goes out once more, with what came since.
         let stamp_of_first = stamp(&first);
         outbox.put_back(first.orders);
-        outbox.send(&Orders { mark: None, ..bindings(&[4], 5) }, &roster);
+        outbox.send(&Orders { nonce: None, ..bindings(&[4], 5) }, &endpoint_ids);
         let again = outbox.take_call(usize::MAX).expect("orders");
         assert_eq!(outbox.confirmed(stamp_of_first), None);
         assert!(!outbox.proved());
@@ -375,19 +375,19 @@
 
     #[test]
     fn a_call_confirmed_late_is_not_sent_once_more_be_its_orders_waiting_or_under_way() {
-        let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(1));
-        outbox.send(&bindings(&[3], 5), &roster);
+        let (outbox, endpoint_ids) = (Outbox::new(vec!["a".into(), "b".into()], 0), endpoint_ids(1));
+        outbox.send(&bindings(&[3], 5), &endpoint_ids);
         let first = outbox.take_call(usize::MAX).expect("orders");
         let stamp_of_first = stamp(&first);
         outbox.put_back_doubtful(first);
         let again = outbox.take_call(usize::MAX).expect("orders");
-        outbox.send(&bindings(&[4], 6), &roster);
+        outbox.send(&bindings(&[4], 6), &endpoint_ids);
         outbox.confirmed(stamp_of_first);
         outbox.put_back_doubtful(again);
         let rest = outbox.take_call(usize::MAX).expect("orders");
         assert_eq!((texts(&rest).len(), texts(&rest)[0]["node"].as_u64()), (2, Some(4)));
         // So it is where they wait.
-        outbox.send(&bindings(&[5], 7), &roster);
+        outbox.send(&bindings(&[5], 7), &endpoint_ids);
         let other = outbox.take_call(usize::MAX).expect("orders");
         let stamp_of_other = stamp(&other);
         outbox.put_back_doubtful(other);
@@ -397,12 +397,12 @@
 
     #[test]
     fn what_the_relay_stopped_at_is_tried_again_unless_it_can_only_fail_or_was_superseded() {
-        let (outbox, roster) = (Outbox::new(vec!["a".into(), "b".into()], 0), roster(3));
+        let (outbox, endpoint_ids) = (Outbox::new(vec!["a".into(), "b".into()], 0), endpoint_ids(3));
         let lines = [(0, 0, 1.0), (0, 1, 0.0), (0, 2, 1.0)];
-        outbox.send(&Orders { bindings: bindings(&[4], 5).bindings, ..weights(&lines, 5) }, &roster);
+        outbox.send(&Orders { bindings: bindings(&[4], 5).bindings, ..weights(&lines, 5) }, &endpoint_ids);
         let stopped = outbox.take_call(usize::MAX).expect("orders").orders.into_iter();
         stopped.filter(|(_, written)| written.again).for_each(|order| outbox.put_aside(order));
-        outbox.send(&weights(&[(0, 2, 0.0)], 6), &roster);
+        outbox.send(&weights(&[(0, 2, 0.0)], 6), &endpoint_ids);
         assert_eq!(outbox.take_call(usize::MAX).expect("orders").orders.len(), 2);
         assert!(outbox.has_aside());
         outbox.recall();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// A name the host has numbered densely from 0. The number is the name's own until
-/// [`Pilot::give_back`](crate::Pilot::give_back) returns it.
+/// [`Pilot::release_endpoint_id`](crate::Pilot::release_endpoint_id) returns it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EndpointId(pub u32);
 
@@ -28,8 +28,8 @@
 
 /// What one class of calls asks for.
 #[derive(Clone, Debug)]
-pub struct ClassTerms {
-    pub latency_goal: Duration,
+pub struct ClassSettings {
+    pub latency_objective: Duration,
     pub value: f64,
     /// Only endpoints of the proxy's own zone may take it.
     pub own_zone: bool,
@@ -37,7 +37,7 @@
 
 /// How a level is read by the proxies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LevelUnit {
+pub enum AdmissionUnit {
     /// The share of a class that is let in.
     Share,
     /// Calls a second that each proxy lets in.
@@ -57,8 +57,8 @@
     /// A proxy joins a pilot of its own zone if there is one.
     pub homed: bool,
     pub zones: usize,
-    pub classes: Vec<ClassTerms>,
-    pub level_unit: LevelUnit,
+    pub classes: Vec<ClassSettings>,
+    pub admission_unit: AdmissionUnit,
     /// Tables belong to slices of the key space; whole tables cannot be bound to proxies.
     pub sliced: bool,
     /// The list of endpoints has to be asked for.
@@ -96,7 +96,7 @@
 
 /// An endpoint as the list has it.
 #[derive(Clone, Debug)]
-pub struct Listed {
+pub struct EndpointUpdate {
     pub endpoint: EndpointId,
     pub zone: ZoneId,
     /// The kind of machine, by number.
@@ -104,11 +104,11 @@
     pub weight: f64,
     /// `None`: long past.
     pub started: Option<Duration>,
-    pub phase: Phase,
+    pub state: EndpointState,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
+pub enum EndpointState {
     Running,
     /// Completes its work and is to be sent nothing new.
     Draining,
@@ -118,7 +118,7 @@
 
 /// What the proxies of one zone met at one endpoint.
 #[derive(Clone, Copy, Debug)]
-pub struct Met {
+pub struct EndpointReport {
     pub tries: f64,
     pub failed: f64,
     /// Mean time of the good answers; zero if there were none.
@@ -129,14 +129,14 @@
 
 /// Calls of a class that came to a proxy.
 #[derive(Clone, Copy, Debug)]
-pub struct Came {
+pub struct DemandReport {
     pub calls: f64,
     pub span: Duration,
 }
 
 /// How a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeEnd {
+pub enum ProbeOutcome {
     Answered,
     /// Turned away: draining, or probed by too many at once. Says nothing about health.
     TurnedAway,
@@ -150,10 +150,10 @@
 
 /// After what a proxy tries another endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Tries {
-    Once,
+pub enum RetryPolicy {
+    Never,
     /// One more, after proof that the first never ran.
-    AgainIfNeverRan,
+    IfNeverRan,
 }
 
 /// What a pilot orders, to be carried out in the order of the fields and then of their entries.
@@ -162,12 +162,12 @@
     pub ask_for_list: bool,
     /// A weight of 0 takes the endpoint out of the table.
     pub weights: Vec<(TableId, EndpointId, f64)>,
-    pub levels: Vec<(TableId, ClassSet, f64, Tries)>,
+    pub admissions: Vec<(TableId, ClassSet, f64, RetryPolicy)>,
     pub bindings: Vec<(ProxyId, TableId, ClassSet)>,
     /// Each proxy that these orders reach is to confirm this mark.
-    pub mark: Option<u32>,
+    pub nonce: Option<u32>,
     pub probes: Vec<EndpointId>,
-    /// Call [`Pilot::woken`](crate::Pilot::woken) after this long.
+    /// Call [`Pilot::on_timer`](crate::Pilot::on_timer) after this long.
     pub wake_after: Option<Duration>,
     /// For the operators' log.
     pub notes: Vec<String>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,12 +13,12 @@
 //!     proxies: 1,
 //!     homed: false,
 //!     zones: 1,
-//!     classes: vec![ClassTerms {
-//!         latency_goal: Duration::from_secs(1),
+//!     classes: vec![ClassSettings {
+//!         latency_objective: Duration::from_secs(1),
 //!         value: 1.0,
 //!         own_zone: false,
 //!     }],
-//!     level_unit: LevelUnit::Share,
+//!     admission_unit: AdmissionUnit::Share,
 //!     sliced: false,
 //!     list_on_request: false,
 //!     dropping_binds: true,
@@ -38,10 +38,10 @@
 //! });
 //! let now = Duration::from_secs(5);
 //! let (endpoint, zone) = (EndpointId(0), ZoneId(0));
-//! let listed = Listed { endpoint, zone, kind: 0, weight: 1.0, started: None,
-//!     phase: Phase::Running };
-//! pilot.list(now, true, &[listed]);
-//! let orders = pilot.joined(now, ProxyId(7), zone, 20.0);
+//! let listed = EndpointUpdate { endpoint, zone, kind: 0, weight: 1.0, started: None,
+//!     state: EndpointState::Running };
+//! pilot.update_endpoints(now, true, &[listed]);
+//! let orders = pilot.proxy_joined(now, ProxyId(7), zone, 20.0);
 //! assert_eq!(orders.bindings, [(ProxyId(7), TableId(0), ClassSet(1))]);
 //! ```
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -185,12 +185,12 @@
         // One origin, as in the paper, unless where a call comes from makes a difference.
         let anywhere = site.crossing_price <= 0.0 && groups.iter().all(|group| !group.confined);
         let homes = if anywhere { 1 } else { site.zones };
-        let all_in = if site.level_unit == LevelUnit::Share { 1.0 } else { ALL_CALLS };
-        let told = vec![(all_in, Tries::AgainIfNeverRan); site.classes.len()];
+        let all_in = if site.admission_unit == AdmissionUnit::Share { 1.0 } else { ALL_CALLS };
+        let told = vec![(all_in, RetryPolicy::IfNeverRan); site.classes.len()];
         Pilot::blank(site, homes, groups, told)
     }
 
-    pub fn list(&mut self, now: Duration, whole: bool, entries: &[Listed]) -> Orders {
+    pub fn update_endpoints(&mut self, now: Duration, whole: bool, entries: &[EndpointUpdate]) -> Orders {
         let unknown = self.fleet.len() == 0;
         self.fleet.follow(now, whole, entries, self.homes, self.site.dropping_binds);
         if unknown {
@@ -200,12 +200,12 @@
         self.settle(now)
     }
 
-    pub fn list_failed(&mut self, now: Duration) -> Orders {
+    pub fn endpoint_list_failed(&mut self, now: Duration) -> Orders {
         self.ask_for_list_at = self.site.list_on_request.then_some(now + self.site.round);
         self.settle(now)
     }
 
-    pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
+    pub fn proxy_joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, usual_rate: f64) -> Orders {
         let pool = self.lightest_pool(if self.homes > 1 { zone.0 as usize } else { 0 });
         self.now = now;
         self.follow_proxies(|p| p.enrol(proxy, pool, usual_rate));
@@ -213,12 +213,18 @@
         self.settle(now)
     }
 
-    pub fn left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
+    pub fn proxy_left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
         self.note_left(now, proxy);
         self.settle(now)
     }
 
-    pub fn met(&mut self, now: Duration, zone: ZoneId, endpoint: EndpointId, met: Met) -> Orders {
+    pub fn endpoint_report(
+        &mut self,
+        now: Duration,
+        zone: ZoneId,
+        endpoint: EndpointId,
+        met: EndpointReport,
+    ) -> Orders {
         let e = endpoint.0 as usize;
         self.fleet.grow(e + 1);
         self.last_heard = Some(now);
@@ -229,7 +235,13 @@
         self.settle(now)
     }
 
-    pub fn came(&mut self, now: Duration, proxy: ProxyId, class: ClassId, came: Came) -> Orders {
+    pub fn demand_report(
+        &mut self,
+        now: Duration,
+        proxy: ProxyId,
+        class: ClassId,
+        came: DemandReport,
+    ) -> Orders {
         self.last_heard = Some(now);
         if let Some(known) = self.proxies.get_mut(&proxy) {
             known.heard = true;
@@ -252,39 +264,39 @@
         self.settle(now)
     }
 
-    pub fn probed(&mut self, now: Duration, endpoint: EndpointId, end: ProbeEnd) -> Orders {
+    pub fn probe_finished(&mut self, now: Duration, endpoint: EndpointId, end: ProbeOutcome) -> Orders {
         let (e, fleet) = (endpoint.0 as usize, &mut self.fleet);
         fleet.probing[e] = false;
         // A probe waits in line as calls do: where some are answered, its silence shows a jam, not a fault;
         // so does its refusal, unless there is no queue to blame.
         let idle = fleet.reported[e].is_some_and(|busy| busy < IDLE);
-        let jam = end == ProbeEnd::Silent && !fleet.unlisted[e] && fleet.failed_part(e) < SILENT_PART;
-        if end == ProbeEnd::Answered {
+        let jam = end == ProbeOutcome::Silent && !fleet.unlisted[e] && fleet.failed_part(e) < SILENT_PART;
+        if end == ProbeOutcome::Answered {
             (fleet.answers[e], fleet.strikes[e]) = (fleet.answers[e] + 1, fleet.strikes[e] * FADE);
-        } else if end != ProbeEnd::TurnedAway && (idle || end != ProbeEnd::Refused) {
+        } else if end != ProbeOutcome::TurnedAway && (idle || end != ProbeOutcome::Refused) {
             (fleet.answers[e], fleet.strikes[e]) = (0, fleet.strikes[e] + if jam { 0.0 } else { 1.0 });
         }
         self.settle(now)
     }
 
-    pub fn confirmed(&mut self, now: Duration, proxy: ProxyId, mark: u32) -> Orders {
-        self.note_confirmed(proxy, mark);
+    pub fn acknowledged(&mut self, now: Duration, proxy: ProxyId, nonce: u32) -> Orders {
+        self.note_confirmed(proxy, nonce);
         self.settle(now)
     }
 
-    pub fn woken(&mut self, now: Duration) -> Orders {
+    pub fn on_timer(&mut self, now: Duration) -> Orders {
         self.settle(now)
     }
 
     fn settle(&mut self, now: Duration) -> Orders {
-        let (mut orders, marked_at) = (Orders::default(), self.marked_at);
+        let (mut orders, nonce_at) = (Orders::default(), self.nonce_at);
         self.now = now;
         self.let_pace_recover(self.site.lines_per_second * CHANNEL_PART, MEMORY);
         while let Some((rule, subject)) = RULES.iter().find_map(|rule| Some((rule, (rule.when)(self)?))) {
             (rule.then)(self, subject, &mut orders);
         }
-        // What is ordered at one moment travels together, under one mark.
-        orders.mark = (self.marked_at != marked_at).then_some(self.mark);
+        // What is ordered at one moment travels together, under one nonce.
+        orders.nonce = (self.nonce_at != nonce_at).then_some(self.nonce);
         orders
     }
 
@@ -430,7 +442,7 @@
         let over =
             (self.shedding() && !self.crowded()) || (brought > TARGET * there.min(capacity) && pressed);
         let mut room = if over { TARGET * there } else { f64::INFINITY };
-        let worth = |c: usize| classes[c].value / classes[c].latency_goal.as_secs_f64().max(LEAST_SPAN);
+        let worth = |c: usize| classes[c].value / classes[c].latency_objective.as_secs_f64().max(LEAST_SPAN);
         let mut order: Vec<usize> = (0..classes.len()).collect();
         order.sort_by(|&x, &y| worth(y).total_cmp(&worth(x)));
         for class in order {
@@ -460,10 +472,10 @@
 
     /// Where levels are rates, the busiest are cut first, by gates that widen until endpoints are kept busy:
     /// calls come in bunches. While anything is refused no call is tried again: tries would add to a jam.
-    fn to_tell(&self, class: usize) -> (f64, Tries) {
-        let tries = if self.shedding() { Tries::Once } else { Tries::AgainIfNeverRan };
+    fn to_tell(&self, class: usize) -> (f64, RetryPolicy) {
+        let tries = if self.shedding() { RetryPolicy::Never } else { RetryPolicy::IfNeverRan };
         let level = self.levels[class];
-        if self.site.level_unit == LevelUnit::Share {
+        if self.site.admission_unit == AdmissionUnit::Share {
             return (level, tries);
         }
         let rates = self.rates_of(class);
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,7 +77,14 @@
 
 impl Sums {
     /// What came up to the last round makes room for what comes now.
-    pub fn add(&mut self, e: usize, now: Duration, stands: (Duration, Duration), seconds: f64, met: Met) {
+    pub fn add(
+        &mut self,
+        e: usize,
+        now: Duration,
+        stands: (Duration, Duration),
+        seconds: f64,
+        met: EndpointReport,
+    ) {
         if self.at[e] <= stands.0 {
             (self.good[e], self.failed[e], self.time[e]) = (0.0, 0.0, 0.0);
         }
@@ -177,7 +184,14 @@
     }
 
     /// Takes the list over; the first one tells what ran before, a later one what was let in just now.
-    pub fn follow(&mut self, now: Duration, whole: bool, entries: &[Listed], homes: usize, binds: bool) {
+    pub fn follow(
+        &mut self,
+        now: Duration,
+        whole: bool,
+        entries: &[EndpointUpdate],
+        homes: usize,
+        binds: bool,
+    ) {
         self.grow(entries.iter().map(|entry| entry.endpoint.0 as usize + 1).max().unwrap_or(0));
         let first = self.opened().next().is_none();
         if whole {
@@ -186,11 +200,11 @@
         }
         for entry in entries {
             let e = entry.endpoint.0 as usize;
-            if entry.phase == Phase::Gone {
+            if entry.state == EndpointState::Gone {
                 self.drop_from_list(now, e, binds);
                 continue;
             }
-            let open = entry.phase == Phase::Running;
+            let open = entry.state == EndpointState::Running;
             let new = self.weight[e] == 0.0;
             if open && !first && (new || entry.started != self.started[e]) {
                 self.admit(e, now);
@@ -323,7 +337,7 @@
 }
 
 impl Group {
-    pub fn all(classes: &[ClassTerms]) -> Vec<Group> {
+    pub fn all(classes: &[ClassSettings]) -> Vec<Group> {
         let group = |confined: bool| {
             let members = (0..classes.len()).filter(|&class| classes[class].own_zone == confined);
             let members: Vec<usize> = members.collect();
@@ -339,7 +353,7 @@
 pub struct Table {
     pub weight: Vec<f64>,
     pub sent: Vec<f64>,
-    pub told: Vec<(f64, Tries)>,
+    pub told: Vec<(f64, RetryPolicy)>,
     /// The lines that are to be pushed, how many of them first, and whether one is of an endpoint that went.
     pub due: Vec<usize>,
     pub first: usize,
@@ -359,7 +373,7 @@
     pub gates: f64,
 }
 
-/// Messages not confirmed, oldest first: mark, proxy, lines and time. Every rule that orders asks for their lines, for
+/// Messages not confirmed, oldest first: nonce, proxy, lines and time. Every rule that orders asks for their lines, for
 /// each proxy and table, so the sum is kept beside them.
 #[derive(Default)]
 pub struct Waiting {
@@ -368,8 +382,8 @@
 }
 
 impl Waiting {
-    fn push(&mut self, mark: u32, id: ProxyId, lines: f64, now: Duration) {
-        self.messages.push_back((mark, id, lines, now));
+    fn push(&mut self, nonce: u32, id: ProxyId, lines: f64, now: Duration) {
+        self.messages.push_back((nonce, id, lines, now));
         self.lines += lines;
     }
 
@@ -402,12 +416,12 @@
     pub(crate) split_at: Option<Duration>,
     /// Lines that count against the pace of pushes, as of the time beside it.
     pub(crate) paced: (f64, Duration),
-    /// Messages not confirmed; the last mark and its time.
+    /// Messages not confirmed; the last nonce and its time.
     pub(crate) waiting: Waiting,
     /// How often the cost of a binding was worked out: the dearest look while thousands wait.
     pub(crate) priced: Cell<u64>,
-    pub(crate) mark: u32,
-    pub(crate) marked_at: Option<Duration>,
+    pub(crate) nonce: u32,
+    pub(crate) nonce_at: Option<Duration>,
     pub(crate) fleet: Fleet,
     pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
     pub(crate) homes: usize,
@@ -427,11 +441,16 @@
     /// By class: the part that is let in.
     pub(crate) levels: Vec<f64>,
     /// By class: what proxies are to be told.
-    pub(crate) telling: Vec<(f64, Tries)>,
+    pub(crate) telling: Vec<(f64, RetryPolicy)>,
 }
 
 impl Pilot {
-    pub(crate) fn blank(site: Deployment, homes: usize, groups: Vec<Group>, told: Vec<(f64, Tries)>) -> Self {
+    pub(crate) fn blank(
+        site: Deployment,
+        homes: usize,
+        groups: Vec<Group>,
+        told: Vec<(f64, RetryPolicy)>,
+    ) -> Self {
         Pilot {
             now: Duration::ZERO,
             ask_for_list_at: site.list_on_request.then_some(Duration::ZERO),
@@ -443,8 +462,8 @@
             paced: (0.0, Duration::ZERO),
             waiting: Waiting::default(),
             priced: Cell::new(0),
-            mark: 0,
-            marked_at: None,
+            nonce: 0,
+            nonce_at: None,
             fleet: Fleet { heard: vec![Sums::default(); site.zones], ..Fleet::default() },
             proxies: BTreeMap::new(),
             pools_per_home: 1,
@@ -465,7 +484,7 @@
     /// Forgets an endpoint that the list has not had for longest, as long as more are gone than are left: one that
     /// comes back is known again, and what is kept stays bounded. Nothing under way may name it: no line that is
     /// held or due, no probe. Its number may then be given to another.
-    pub fn give_back(&mut self) -> Option<EndpointId> {
+    pub fn release_endpoint_id(&mut self) -> Option<EndpointId> {
         let Fleet { gone, open, capacity, probing, .. } = &self.fleet;
         let idle = |table: &Table, e: usize| {
             let none = |weights: &[f64]| weights.get(e).is_none_or(|weight| *weight == 0.0);
@@ -505,7 +524,7 @@
         }
         for &class in classes {
             let (level, tries) = self.telling[class];
-            orders.levels.push((id, ClassSet(1 << class), level, tries));
+            orders.admissions.push((id, ClassSet(1 << class), level, tries));
             told[class] = (level, tries);
         }
         let bound = |id: &&ProxyId| self.proxies[id].bound;
@@ -532,20 +551,20 @@
         }
     }
 
-    /// With its head and its mark.
+    /// With its head and its nonce.
     pub(crate) fn message_lines(&self, lines: usize) -> f64 {
         lines as f64 + self.site.lines_per_message + 1.0
     }
 
-    /// A message of so many lines goes to a proxy, under the mark of this moment's orders.
+    /// A message of so many lines goes to a proxy, under the nonce of this moment's orders.
     pub(crate) fn note_message(&mut self, id: ProxyId, lines: usize) {
         let lines = self.message_lines(lines);
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
         proxy.note_message(self.now, self.site.messages_span);
-        if self.marked_at != Some(self.now) {
-            (self.marked_at, self.mark) = (Some(self.now), (self.mark + 1) % (1 << 16));
+        if self.nonce_at != Some(self.now) {
+            (self.nonce_at, self.nonce) = (Some(self.now), (self.nonce + 1) % (1 << 16));
         }
-        self.waiting.push(self.mark, id, lines, self.now);
+        self.waiting.push(self.nonce, id, lines, self.now);
         self.paced.0 += lines;
     }
 
@@ -558,16 +577,16 @@
     }
 
     /// A proxy that may have come anew unheard: whatever it was bound to may bind it no more.
-    pub fn doubted(&mut self, id: ProxyId) {
+    pub fn proxy_in_doubt(&mut self, id: ProxyId) {
         if let Some(known) = self.proxies.get_mut(&id) {
             known.doubted = known.bound;
         }
         self.waiting.retain(|_, waits| waits != id);
     }
 
-    /// What was ordered under a mark went out once more, as nothing told whether it had been carried out.
-    pub fn repeated(&mut self, now: Duration, mark: u32) {
-        for waits in self.waiting.messages.iter_mut().filter(|waits| waits.0 == mark) {
+    /// What was ordered under a nonce went out once more, as nothing told whether it had been carried out.
+    pub fn orders_repeated(&mut self, now: Duration, nonce: u32) {
+        for waits in self.waiting.messages.iter_mut().filter(|waits| waits.0 == nonce) {
             waits.2 *= 2.0;
             if let Some(known) = self.proxies.get_mut(&waits.1) {
                 known.note_message(now, self.site.messages_span);
@@ -576,11 +595,11 @@
         self.waiting.recount();
     }
 
-    /// Messages leave the channel in order: what was ordered before a confirmed mark has left.
-    pub(crate) fn note_confirmed(&mut self, id: ProxyId, mark: u32) {
-        let before = self.waiting.messages.iter().position(|waits| waits.0 == mark).unwrap_or(0);
+    /// Messages leave the channel in order: what was ordered before a confirmed nonce has left.
+    pub(crate) fn note_confirmed(&mut self, id: ProxyId, nonce: u32) {
+        let before = self.waiting.messages.iter().position(|waits| waits.0 == nonce).unwrap_or(0);
         self.waiting.drop_first(before);
-        self.waiting.retain(|waits, proxy| (waits, proxy) != (mark, id));
+        self.waiting.retain(|waits, proxy| (waits, proxy) != (nonce, id));
     }
 
     /// How often the cost of a binding was worked out so far.
@@ -589,7 +608,7 @@
     }
 
     /// What of each class is let in, 1 for all.
-    pub fn levels(&self) -> &[f64] {
+    pub fn admissions(&self) -> &[f64] {
         &self.levels
     }
 
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -16,10 +16,10 @@
     pub now: Duration,
     pub tables: BTreeMap<u32, BTreeMap<u32, f64>>,
     pub bound: BTreeMap<u32, u32>,
-    pub levels: BTreeMap<u64, (f64, Tries)>,
+    pub levels: BTreeMap<u64, (f64, RetryPolicy)>,
     pub probes: Vec<u32>,
     /// How probes of an endpoint end; the others are answered.
-    pub ends: BTreeMap<u32, ProbeEnd>,
+    pub ends: BTreeMap<u32, ProbeOutcome>,
     pub messages: Vec<(u32, Duration)>,
     pub asked_for_list: u32,
     /// Lines of all messages so far, heads and marks included.
@@ -35,8 +35,8 @@
 }
 
 pub fn deployment() -> Deployment {
-    let class = |goal: u64, value: f64| ClassTerms {
-        latency_goal: Duration::from_secs(goal),
+    let class = |goal: u64, value: f64| ClassSettings {
+        latency_objective: Duration::from_secs(goal),
         value,
         own_zone: false,
     };
@@ -47,7 +47,7 @@
         homed: false,
         zones: 2,
         classes: vec![class(2, 1.0), class(1, 2.0)],
-        level_unit: LevelUnit::Share,
+        admission_unit: AdmissionUnit::Share,
         sliced: false,
         list_on_request: false,
         dropping_binds: true,
@@ -83,14 +83,14 @@
     }
 }
 
-pub fn listed(endpoint: u32, zone: u32) -> Listed {
-    Listed {
+pub fn listed(endpoint: u32, zone: u32) -> EndpointUpdate {
+    EndpointUpdate {
         endpoint: EndpointId(endpoint),
         zone: ZoneId(zone),
         kind: 0,
         weight: 1.0,
         started: None,
-        phase: Phase::Running,
+        state: EndpointState::Running,
     }
 }
 
@@ -124,40 +124,40 @@
     pub fn started(deployment: Deployment, endpoints: u32, homes: impl IntoIterator<Item = u32>) -> Self {
         let zones = deployment.zones as u32;
         let mut host = Host::new(deployment);
-        let list: Vec<Listed> = (0..endpoints).map(|e| listed(e, e % zones)).collect();
+        let list: Vec<EndpointUpdate> = (0..endpoints).map(|e| listed(e, e % zones)).collect();
         host.list(true, &list);
         (0..).zip(homes).for_each(|(proxy, home)| host.join(proxy, home));
         host
     }
 
-    pub fn list(&mut self, whole: bool, entries: &[Listed]) {
-        let orders = self.pilot.list(self.now, whole, entries);
+    pub fn list(&mut self, whole: bool, entries: &[EndpointUpdate]) {
+        let orders = self.pilot.update_endpoints(self.now, whole, entries);
         self.carry_out(orders);
     }
 
     pub fn join(&mut self, proxy: u32, zone: u32) {
-        let orders = self.pilot.joined(self.now, ProxyId(proxy), ZoneId(zone), 20.0);
+        let orders = self.pilot.proxy_joined(self.now, ProxyId(proxy), ZoneId(zone), 20.0);
         self.carry_out(orders);
     }
 
     pub fn leave(&mut self, proxy: u32) {
         self.bound.remove(&proxy);
-        let orders = self.pilot.left(self.now, ProxyId(proxy));
+        let orders = self.pilot.proxy_left(self.now, ProxyId(proxy));
         self.carry_out(orders);
     }
 
     pub fn meet(&mut self, endpoint: u32, second: Second, span: Duration) {
         let (tries, failed, busy) = second;
         let answer_time = self.answer_times.get(&endpoint).copied().unwrap_or(200 * MS);
-        let met = Met { tries, failed, answer_time, span, load: LoadReport { busy: Some(busy) } };
-        let orders = self.pilot.met(self.now, ZoneId(0), EndpointId(endpoint), met);
+        let met = EndpointReport { tries, failed, answer_time, span, load: LoadReport { busy: Some(busy) } };
+        let orders = self.pilot.endpoint_report(self.now, ZoneId(0), EndpointId(endpoint), met);
         self.carry_out(orders);
     }
 
     /// Calls of a class that came to a proxy.
     pub fn bring(&mut self, proxy: u32, class: u32, calls: f64) {
-        let came = Came { calls, span: self.span };
-        let orders = self.pilot.came(self.now, ProxyId(proxy), ClassId(class), came);
+        let came = DemandReport { calls, span: self.span };
+        let orders = self.pilot.demand_report(self.now, ProxyId(proxy), ClassId(class), came);
         self.carry_out(orders);
     }
 
@@ -165,7 +165,7 @@
     pub fn quiet(&mut self, tenths: u32) {
         for _ in 0..tenths {
             self.now += 100 * MS;
-            let orders = self.pilot.woken(self.now);
+            let orders = self.pilot.on_timer(self.now);
             self.carry_out(orders);
         }
     }
@@ -176,11 +176,11 @@
             for _ in 0..10 {
                 self.now += 100 * MS;
                 for probed in std::mem::take(&mut self.probes) {
-                    let end = self.ends.get(&probed).copied().unwrap_or(ProbeEnd::Answered);
-                    let orders = self.pilot.probed(self.now, EndpointId(probed), end);
+                    let end = self.ends.get(&probed).copied().unwrap_or(ProbeOutcome::Answered);
+                    let orders = self.pilot.probe_finished(self.now, EndpointId(probed), end);
                     self.carry_out(orders);
                 }
-                let orders = self.pilot.woken(self.now);
+                let orders = self.pilot.on_timer(self.now);
                 self.carry_out(orders);
             }
             for endpoint in 0..80 {
@@ -211,7 +211,7 @@
             };
             reached.extend(self.bound.iter().filter(|(_, held)| **held == table.0).map(|(proxy, _)| proxy));
         }
-        for (table, classes, level, tries) in orders.levels {
+        for (table, classes, level, tries) in orders.admissions {
             self.levels.insert(classes.0, (level, tries));
             reached.extend(self.bound.iter().filter(|(_, held)| **held == table.0).map(|(proxy, _)| proxy));
         }
@@ -223,7 +223,7 @@
         reached.sort();
         reached.dedup();
         self.lines += reached.len() * 5;
-        self.mark = orders.mark.unwrap_or(self.mark);
+        self.mark = orders.nonce.unwrap_or(self.mark);
         self.owed.extend(reached.iter().map(|proxy| (*proxy, self.mark)));
         self.messages.extend(reached.into_iter().map(|proxy| (proxy, self.now)));
         self.messages.dedup();
@@ -236,7 +236,7 @@
 
     pub fn confirm_all(&mut self) {
         for (proxy, mark) in std::mem::take(&mut self.owed) {
-            let orders = self.pilot.confirmed(self.now, ProxyId(proxy), mark);
+            let orders = self.pilot.acknowledged(self.now, ProxyId(proxy), mark);
             self.carry_out(orders);
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -31,7 +31,7 @@
 #[test]
 fn drained_and_gone_endpoints_leave_every_table_and_a_home_without_any_is_served_by_the_others() {
     let mut host = Host::running(homes(), 6);
-    host.list(false, &[Listed { phase: Phase::Draining, ..listed(0, 0) }]);
+    host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(0, 0) }]);
     host.list(true, &[1, 3, 5].map(|e| listed(e, 1)));
     host.quiet(2);
     for table in host.tables.values() {
@@ -74,8 +74,8 @@
 fn a_restarted_endpoint_gets_no_more_than_the_slowest_warm_up_bears() {
     let mut host = Host::running(deployment(), 6);
     host.seconds(12, 15.0, CALM);
-    host.list(false, &[Listed { phase: Phase::Draining, ..listed(0, 0) }]);
-    host.list(false, &[Listed { started: Some(host.now), ..listed(0, 0) }]);
+    host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(0, 0) }]);
+    host.list(false, &[EndpointUpdate { started: Some(host.now), ..listed(0, 0) }]);
     host.quiet(2);
     let start = host.share(0, 0);
     assert!(start > 0.0 && start < 0.2 * 1.5 / 5.0, "{start}");
@@ -89,7 +89,7 @@
     let share = |busy: f64| {
         let mut host = Host::running(deployment(), 6);
         host.seconds(12, 15.0, CALM);
-        host.list(false, &[Listed { started: Some(host.now), ..listed(6, 0) }]);
+        host.list(false, &[EndpointUpdate { started: Some(host.now), ..listed(6, 0) }]);
         host.seconds(4, 15.0, |e| CALM(e).or((e == 6).then_some((6.0, 0.0, busy))));
         host.share(0, 6)
     };
@@ -102,14 +102,14 @@
 #[test]
 fn a_new_small_machine_is_loaded_like_its_kind() {
     let mut host = Host::new(deployment());
-    let list: Vec<Listed> = (0..6).map(|e| Listed { kind: e % 2, ..listed(e, 0) }).collect();
+    let list: Vec<EndpointUpdate> = (0..6).map(|e| EndpointUpdate { kind: e % 2, ..listed(e, 0) }).collect();
     host.list(true, &list);
     host.join(0, 0);
     host.join(1, 0);
     // Kind 1 needs twice the time for the same calls.
     let kinds = |e: u32| (e < 6).then_some((10.0, 0.0, if e.is_multiple_of(2) { 0.3 } else { 0.6 }));
     host.seconds(25, 15.0, kinds);
-    host.list(false, &[Listed { kind: 1, ..listed(6, 0) }]);
+    host.list(false, &[EndpointUpdate { kind: 1, ..listed(6, 0) }]);
     host.seconds(4, 15.0, kinds);
     assert!((host.share(0, 6) / host.share(0, 1) - 1.0).abs() < 0.3, "{:?}", host.tables);
 }
@@ -119,7 +119,7 @@
     let site = Deployment { keep_away: true, probes_allowed: false, ..deployment() };
     let mut host = Host::running(site, 6);
     host.seconds(10, 15.0, CALM);
-    host.list(false, &[Listed { started: Some(host.now), ..listed(6, 0) }]);
+    host.list(false, &[EndpointUpdate { started: Some(host.now), ..listed(6, 0) }]);
     assert!(host.share(0, 6) > 0.0);
     host.seconds(2, 15.0, |e| (e < 6).then_some((10.0, 4.0, 0.9)));
     assert_eq!(host.share(0, 6), 0.0);
@@ -139,11 +139,11 @@
             Host::running(Deployment { keep_away: true, probes_allowed: false, ..deployment() }, 12);
         let all = |e: u32| (e < 12).then_some((5.0, failed, 0.5));
         host.seconds(10, 15.0, all);
-        host.list(false, &[Listed { started: Some(host.now), ..listed(12, 0) }]);
+        host.list(false, &[EndpointUpdate { started: Some(host.now), ..listed(12, 0) }]);
         host.seconds(3, 15.0, all);
         assert!(host.share(0, 12) > 0.0);
-        let drained: Vec<Listed> =
-            ended.map(|e| Listed { phase: Phase::Draining, ..listed(e, e % 2) }).collect();
+        let drained: Vec<EndpointUpdate> =
+            ended.map(|e| EndpointUpdate { state: EndpointState::Draining, ..listed(e, e % 2) }).collect();
         host.list(false, &drained);
         host.quiet(5);
         let early = host.share(0, 12);
@@ -162,7 +162,8 @@
     let comers = |jam: fn(u32) -> Option<Second>| {
         let mut host = Host::running(Deployment { probes_allowed: false, ..deployment() }, 6);
         host.seconds(10, 15.0, CALM);
-        let come: Vec<Listed> = (6..12).map(|e| Listed { started: Some(host.now), ..listed(e, 0) }).collect();
+        let come: Vec<EndpointUpdate> =
+            (6..12).map(|e| EndpointUpdate { started: Some(host.now), ..listed(e, 0) }).collect();
         host.list(false, &come);
         host.seconds(3, 15.0, jam);
         (6..12).map(|e| host.share(0, e)).sum::<f64>()
@@ -177,8 +178,8 @@
     let mut host = Host::running(Deployment { probes_allowed: false, ..deployment() }, 2);
     let one = |e: u32| (e < 2).then_some((10.0, 0.0, 0.5));
     host.seconds(10, 15.0, one);
-    host.list(false, &[Listed { phase: Phase::Draining, ..listed(1, 1) }]);
-    host.list(false, &[Listed { started: Some(host.now), ..listed(2, 0) }]);
+    host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(1, 1) }]);
+    host.list(false, &[EndpointUpdate { started: Some(host.now), ..listed(2, 0) }]);
     host.seconds(2, 15.0, |e| (e < 1).then_some((10.0, 0.0, 0.5)));
     assert!(host.share(0, 2) > 0.0);
     host.seconds(3, 15.0, |e| (e < 1).then_some((10.0, 8.0, 0.75)));
@@ -191,7 +192,7 @@
     let failing = |e: u32| (e < 6).then_some(if e == 0 { (10.0, 8.0, 0.1) } else { (10.0, 0.0, 0.5) });
     host.seconds(4, 15.0, failing);
     assert!(host.share(0, 0) > 0.0, "probes that are answered do not confirm");
-    host.ends.insert(0, ProbeEnd::Failed);
+    host.ends.insert(0, ProbeOutcome::Failed);
     host.seconds(3, 15.0, failing);
     assert_eq!(host.share(0, 0), 0.0);
     host.ends.clear();
@@ -202,7 +203,7 @@
 #[test]
 fn a_silent_probe_of_a_jammed_endpoint_confirms_nothing() {
     let mut host = Host::running(deployment(), 6);
-    host.ends.insert(0, ProbeEnd::Silent);
+    host.ends.insert(0, ProbeOutcome::Silent);
     let jammed = |e: u32| (e < 6).then_some(if e == 0 { (10.0, 6.0, 1.0) } else { (10.0, 0.0, 0.5) });
     host.seconds(6, 15.0, jammed);
     assert!(host.share(0, 0) > 0.0);
@@ -216,7 +217,7 @@
     for (busy, shut_out) in [(0.2, true), (0.9, false)] {
         let mut host = Host::running(deployment(), 6);
         host.seconds(10, 15.0, CALM);
-        host.ends.insert(0, ProbeEnd::Refused);
+        host.ends.insert(0, ProbeOutcome::Refused);
         host.seconds(8, 15.0, |e| {
             (e < 6).then_some(if e == 0 { (10.0, 6.0, busy) } else { (10.0, 0.0, 0.5) })
         });
@@ -227,7 +228,7 @@
 #[test]
 fn nobody_is_shut_out_when_all_fail_alike_and_never_all() {
     let mut host = Host::running(deployment(), 6);
-    host.ends = (0..6).map(|e| (e, ProbeEnd::Failed)).collect();
+    host.ends = (0..6).map(|e| (e, ProbeOutcome::Failed)).collect();
     host.seconds(6, 15.0, |e| (e < 6).then_some((10.0, 8.0, 0.5)));
     assert_eq!(host.tables[&0].len(), 6);
     host.seconds(10, 15.0, |e| (e < 6).then_some(if e < 4 { (10.0, 10.0, 0.5) } else { (10.0, 0.0, 0.5) }));
@@ -244,10 +245,10 @@
     host.seconds(6, 45.0, |e| (e < 6).then_some((20.0, 2.0, 0.9)));
     let ((low, tries), (high, _)) = (host.levels[&1], host.levels[&2]);
     assert!(low < 0.9 && high == 1.0, "{:?}", host.levels);
-    assert_eq!(tries, Tries::Once, "a jam is not tried again elsewhere");
+    assert_eq!(tries, RetryPolicy::Never, "a jam is not tried again elsewhere");
     // The refused come again and keep demand up; the endpoints show that there is room.
     host.seconds(12, 45.0, |e| (e < 6).then_some((16.0, 0.0, 0.4)));
-    assert_eq!(host.levels[&1], (1.0, Tries::AgainIfNeverRan));
+    assert_eq!(host.levels[&1], (1.0, RetryPolicy::IfNeverRan));
 }
 
 #[test]
@@ -275,7 +276,8 @@
 
 #[test]
 fn where_levels_are_rates_the_busiest_proxies_are_cut() {
-    let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
+    let mut host =
+        Host::running(Deployment { admission_unit: AdmissionUnit::CallsPerSecond, ..deployment() }, 6);
     host.seconds(10, 15.0, CALM);
     host.seconds(6, 45.0, |e| (e < 6).then_some((20.0, 2.0, 1.0)));
     let (rate, _) = host.levels[&1];
@@ -284,7 +286,8 @@
 
 #[test]
 fn where_gates_let_in_less_than_meant_they_are_widened_while_endpoints_are_idle() {
-    let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
+    let mut host =
+        Host::running(Deployment { admission_unit: AdmissionUnit::CallsPerSecond, ..deployment() }, 6);
     host.seconds(10, 20.0, |e| (e < 6).then_some((10.0, 0.0, 0.95)));
     let (meant, _) = host.levels[&1];
     host.seconds(8, 20.0, |e| (e < 6).then_some((4.0, 0.0, 0.35)));
@@ -334,7 +337,8 @@
 
 #[test]
 fn a_report_over_many_rounds_counts_as_many_and_rare_calls_do_not_pass_for_many() {
-    let mut host = Host::running(Deployment { level_unit: LevelUnit::CallsPerSecond, ..deployment() }, 6);
+    let mut host =
+        Host::running(Deployment { admission_unit: AdmissionUnit::CallsPerSecond, ..deployment() }, 6);
     host.seconds(10, 30.0, |e| (e < 6).then_some((8.0, 0.8, 1.0)));
     let (busy, _) = host.levels[&1];
     // One second of little, heard of late, and two of nothing: the busy ones before are no guide any more.
@@ -352,11 +356,14 @@
     for _ in 0..60 {
         let (gone, new) = (listed_now.remove(0), free.pop().unwrap_or(next));
         next = next.max(new + 1);
-        host.list(false, &[listed(new, new % 2), Listed { phase: Phase::Gone, ..listed(gone, 0) }]);
+        host.list(
+            false,
+            &[listed(new, new % 2), EndpointUpdate { state: EndpointState::Gone, ..listed(gone, 0) }],
+        );
         listed_now.push(new);
         let busy = listed_now.clone();
         host.seconds(2, 15.0, move |e| busy.contains(&e).then_some((10.0, 0.0, 0.5)));
-        free.extend(std::iter::from_fn(|| host.pilot.give_back()).map(|endpoint| endpoint.0));
+        free.extend(std::iter::from_fn(|| host.pilot.release_endpoint_id()).map(|endpoint| endpoint.0));
         // What is given back is in no table, and known no more.
         assert!(free.iter().all(|e| !listed_now.contains(e) && host.share(0, *e) == 0.0));
     }
@@ -369,9 +376,9 @@
     let mut host = Host::running(Deployment { messages: Some(1), ..deployment() }, 2);
     host.seconds(4, 15.0, |e| (e < 2).then_some((10.0, 0.0, 0.5)));
     host.list(true, &[listed(2, 0)]);
-    assert_eq!(host.pilot.give_back(), None);
+    assert_eq!(host.pilot.release_endpoint_id(), None);
     host.seconds(12, 15.0, |e| (e == 2).then_some((10.0, 0.0, 0.5)));
-    assert_eq!(host.pilot.give_back(), Some(EndpointId(0)));
+    assert_eq!(host.pilot.release_endpoint_id(), Some(EndpointId(0)));
 }
 
 #[test]
@@ -394,8 +401,8 @@
             (e < 8).then_some((10.0, 0.0, if (e + second).is_multiple_of(2) { 0.3 } else { 0.9 }))
         };
         host.seconds(1, 15.0, swing);
-        let phase = if second % 2 == 0 { Phase::Running } else { Phase::Draining };
-        host.list(false, &[Listed { phase, started: Some(host.now), ..listed(second % 8, 0) }]);
+        let state = if second % 2 == 0 { EndpointState::Running } else { EndpointState::Draining };
+        host.list(false, &[EndpointUpdate { state, started: Some(host.now), ..listed(second % 8, 0) }]);
     }
     for &(proxy, at) in &host.messages {
         let within = |&&(other, sent): &&(u32, Duration)| {
@@ -410,7 +417,7 @@
     let mut host = Host::new(Deployment { list_on_request: true, ..deployment() });
     host.seconds(3, 0.0, |_| None);
     assert_eq!(host.asked_for_list, 1);
-    host.pilot.list_failed(host.now);
+    host.pilot.endpoint_list_failed(host.now);
     host.seconds(3, 0.0, |_| None);
     assert_eq!(host.asked_for_list, 2);
 }
@@ -472,7 +479,7 @@
     let mut host = Host::running(deployment(), 20);
     for gone in 0..16 {
         host.now += 300 * MS;
-        host.list(false, &[Listed { phase: Phase::Draining, ..listed(gone, 0) }]);
+        host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(gone, 0) }]);
     }
     host.seconds(2, 15.0, |_| None);
     assert_eq!(host.tables[&0].len(), 4);
@@ -561,7 +568,8 @@
 #[test]
 fn a_pool_whose_own_endpoints_all_go_is_served_by_others() {
     let mut host = grown();
-    let lost: Vec<Listed> = (2..80).map(|e| Listed { phase: Phase::Draining, ..listed(e, e % 2) }).collect();
+    let lost: Vec<EndpointUpdate> =
+        (2..80).map(|e| EndpointUpdate { state: EndpointState::Draining, ..listed(e, e % 2) }).collect();
     host.list(false, &lost);
     host.quiet(30);
     for table in host.bound.values() {
@@ -575,7 +583,7 @@
     host.confirms = false;
     host.lines = 0;
     for gone in 0..40 {
-        host.list(false, &[Listed { phase: Phase::Draining, ..listed(gone, gone % 2) }]);
+        host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(gone, gone % 2) }]);
         host.quiet(5);
     }
     assert!(host.lines > 500 && host.lines <= 3_000, "{}", host.lines);
@@ -602,12 +610,12 @@
 fn what_the_list_drops_stays_while_probes_find_it_and_goes_when_they_do_not() {
     let mut host = Host::running(Deployment { dropping_binds: false, ..deployment() }, 6);
     host.seconds(5, 15.0, CALM);
-    host.ends.insert(1, ProbeEnd::Failed);
+    host.ends.insert(1, ProbeOutcome::Failed);
     host.list(true, &[3, 4, 5].map(|e| listed(e, e % 2)));
     host.seconds(4, 15.0, |e| (e < 6 && e != 1).then_some((10.0, 0.0, 0.5)));
     assert!(host.share(0, 0) > 0.0 && host.share(0, 2) > 0.0);
     assert_eq!(host.share(0, 1), 0.0);
-    host.list(false, &[Listed { phase: Phase::Draining, ..listed(2, 0) }]);
+    host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(2, 0) }]);
     host.quiet(2);
     assert_eq!(host.share(0, 2), 0.0, "a drain binds all the same");
 }
@@ -638,8 +646,8 @@
     host.seconds(12, 20.0, |e| (e < 80).then_some((10.0, 0.0, 0.5)));
     // All that zone 0 had but two goes, and comes back cold.
     let zone: Vec<u32> = (4..80).filter(|e| e % 2 == 0).collect();
-    for (phase, started) in [(Phase::Gone, None), (Phase::Running, Some(host.now))] {
-        let entries = zone.iter().map(|&e| Listed { phase, started, ..listed(e, 0) });
+    for (state, started) in [(EndpointState::Gone, None), (EndpointState::Running, Some(host.now))] {
+        let entries = zone.iter().map(|&e| EndpointUpdate { state, started, ..listed(e, 0) });
         host.list(false, &entries.collect::<Vec<_>>());
         host.quiet(10);
     }
@@ -663,7 +671,7 @@
 fn a_burst_of_withdrawals_holds_ordinary_pushes_back_for_a_second_only() {
     let mut host = grown();
     for gone in 0..20 {
-        host.list(false, &[Listed { phase: Phase::Draining, ..listed(gone, gone % 2) }]);
+        host.list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(gone, gone % 2) }]);
         host.quiet(2);
     }
     host.list(false, &[listed(0, 0)]);
@@ -676,10 +684,13 @@
     let mut host = Host::running(deployment(), 12);
     let begun = host.now;
     for round in 0..40 {
-        host.pilot.doubted(ProxyId(0));
+        host.pilot.proxy_in_doubt(ProxyId(0));
         // Its tables change meanwhile, and it may be bound to them still.
         if round % 5 == 4 {
-            host.list(false, &[Listed { phase: Phase::Draining, ..listed(round / 5, round / 5 % 2) }]);
+            host.list(
+                false,
+                &[EndpointUpdate { state: EndpointState::Draining, ..listed(round / 5, round / 5 % 2) }],
+            );
         }
         host.quiet(1);
     }
@@ -688,7 +699,7 @@
     };
     assert!(to_it(&host, begun - 10_000 * MS) <= 12, "{}", to_it(&host, begun - 10_000 * MS));
     let last = host.now;
-    host.pilot.doubted(ProxyId(0));
+    host.pilot.proxy_in_doubt(ProxyId(0));
     host.quiet(110);
     assert!((1..=12).contains(&to_it(&host, last)));
 }
--- a/tests/stories/shapes.rs
+++ b/tests/stories/shapes.rs
@@ -40,12 +40,16 @@
     };
     for (site, endpoints, come) in [
         (shape(1, 0, 100, 1), 20, 100),
-        (Deployment { classes: classes(1), level_unit: LevelUnit::Ignored, ..shape(2, 1, 100, 2) }, 20, 60),
+        (
+            Deployment { classes: classes(1), admission_unit: AdmissionUnit::Ignored, ..shape(2, 1, 100, 2) },
+            20,
+            60,
+        ),
         (Deployment { messages: None, ..shape(5, 4, 2400, 7) }, 200, 480),
         (Deployment { classes: classes(12), ..shape(64, 63, 2400, 4) }, 300, 40),
         (shape(350, 349, 2450, 4), 400, 7),
         // More zones than endpoints: most zones have proxies and none of their own.
-        (Deployment { level_unit: LevelUnit::CallsPerSecond, ..shape(5, 0, 600, 60) }, 20, 120),
+        (Deployment { admission_unit: AdmissionUnit::CallsPerSecond, ..shape(5, 0, 600, 60) }, 20, 120),
         (shape(5, 0, 300, 3), 1100, 60),
         // A pilot without a proxy, and one that all have come to.
         (shape(350, 7, 2450, 1), 200, 0),
@@ -57,12 +61,13 @@
 
 #[test]
 fn all_proxies_of_a_pilot_that_died_are_bound_within_the_channel_and_drained_in_time() {
-    let site = Deployment { me: 2, level_unit: LevelUnit::CallsPerSecond, ..whole_fleet() };
+    let site = Deployment { me: 2, admission_unit: AdmissionUnit::CallsPerSecond, ..whole_fleet() };
     let mut host = started(&site, 200, 480);
     (480..1440).for_each(|proxy| host.join(proxy, proxy % 4));
     host.quiet(20);
     serves(&host, &site, 1440);
-    let gone: Vec<Listed> = (0..120).map(|e| Listed { phase: Phase::Draining, ..listed(e, e % 4) }).collect();
+    let gone: Vec<EndpointUpdate> =
+        (0..120).map(|e| EndpointUpdate { state: EndpointState::Draining, ..listed(e, e % 4) }).collect();
     let begun = host.now;
     host.list(false, &gone);
     let held = |host: &Host| host.bound.values().any(|table| host.tables[table].keys().any(|e| *e < 120));
