Leaves and acknowledgements are booked in state.rs, where no decision is taken

Cause: two public methods of the module decided nothing and stood among the decisions. Change: they move beside the bookkeeping that they called; one function each in place of two.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -213,11 +213,6 @@
         self.settle(now)
     }
 
-    pub fn proxy_left(&mut self, now: Duration, proxy: ProxyId) -> Orders {
-        self.note_left(now, proxy);
-        self.settle(now)
-    }
-
     pub fn endpoint_report(
         &mut self,
         now: Duration,
@@ -279,16 +274,11 @@
         self.settle(now)
     }
 
-    pub fn acknowledged(&mut self, now: Duration, proxy: ProxyId, nonce: u32) -> Orders {
-        self.note_confirmed(proxy, nonce);
-        self.settle(now)
-    }
-
     pub fn on_timer(&mut self, now: Duration) -> Orders {
         self.settle(now)
     }
 
-    fn settle(&mut self, now: Duration) -> Orders {
+    pub(crate) fn settle(&mut self, now: Duration) -> Orders {
         let (mut orders, nonce_at) = (Orders::default(), self.nonce_at);
         self.now = now;
         self.let_pace_recover(self.site.lines_per_second * CHANNEL_PART, MEMORY);
--- a/src/state.rs
+++ b/src/state.rs
@@ -568,12 +568,13 @@
         self.paced.0 += lines;
     }
 
-    /// What travels to a proxy is lost with its stream.
-    pub(crate) fn note_left(&mut self, now: Duration, id: ProxyId) {
+    /// A proxy's stream broke: what travels to it is lost with that.
+    pub fn proxy_left(&mut self, now: Duration, id: ProxyId) -> Orders {
         if let Some(known) = self.proxies.get_mut(&id) {
             (known.left, known.bound, known.doubted) = (Some(now), false, false);
         }
         self.waiting.retain(|_, waits| waits != id);
+        self.settle(now)
     }
 
     /// A proxy that may have come anew unheard: whatever it was bound to may bind it no more.
@@ -595,11 +596,12 @@
         self.waiting.recount();
     }
 
-    /// Messages leave the channel in order: what was ordered before a confirmed nonce has left.
-    pub(crate) fn note_confirmed(&mut self, id: ProxyId, nonce: u32) {
+    /// A proxy has applied all up to this nonce. Messages leave the channel in order: what was ordered before it has left.
+    pub fn acknowledged(&mut self, now: Duration, id: ProxyId, nonce: u32) -> Orders {
         let before = self.waiting.messages.iter().position(|waits| waits.0 == nonce).unwrap_or(0);
         self.waiting.drop_first(before);
         self.waiting.retain(|waits, proxy| (waits, proxy) != (nonce, id));
+        self.settle(now)
     }
 
     /// How often the cost of a binding was worked out so far.
