--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,38 +5,30 @@
 use std::time::Duration;
 
 use crate::dead::{Dead, Death};
+use crate::listings::{Listing, Listings};
 use crate::pace::{Bucket, Flapping, Pace};
 use crate::word::*;
 
 /// What rounds to no wait at all would be asked for again and again.
 const LEAST_WAIT: Duration = Duration::from_millis(1);
 
-/// What one source last said of a name.
-#[derive(Clone, Debug)]
-struct Listing {
-    /// When it was said: its life's numbers are of that history.
-    epoch: Epoch,
-    at: Revision,
-    entry: Entry,
-    /// This life is over, whatever the source says.
-    barred: bool,
-}
-
+/// What is known of one name. There is one for each endpoint, so what few names need is kept apart.
 #[derive(Default, Debug)]
 struct Seen {
-    by: BTreeMap<SourceId, Listing>,
+    by: Listings,
     /// What the module was last told; `None`: not there.
-    handed: Option<Entry>,
-    flapping: Flapping,
+    handed: Option<Arc<Entry>>,
+    /// Only of one that a paced source once had leave.
+    flapping: Option<Box<Flapping>>,
 }
 
 impl Seen {
-    /// The first source that lists it tells its figures; a drain is one whichever source tells of it.
-    fn wanted(&self) -> Option<Entry> {
-        let mut standing = self.by.values().filter(|listing| !listing.barred);
-        let mut entry = standing.next()?.entry.clone();
-        entry.standing = standing.map(|listing| listing.entry.standing).fold(entry.standing, Standing::max);
-        Some(entry)
+    fn held_until(&self) -> Duration {
+        self.flapping.as_ref().map_or(Duration::ZERO, |flapping| flapping.held_until)
+    }
+
+    fn is_steady(&self, now: Duration, pace: &Pace) -> bool {
+        self.flapping.as_ref().is_none_or(|flapping| flapping.is_over(now, pace))
     }
 }
 
@@ -45,6 +37,8 @@
     terms: SourceTerms,
     known: Option<(Epoch, Revision)>,
     heard: Option<Duration>,
+    /// Names that it lists.
+    listed: usize,
 }
 
 /// How a source stands.
@@ -79,6 +73,12 @@
     pub handover: Option<Handover>,
 }
 
+/// An old list may have a name in an earlier life: taken at its word, one that has just started would pass for warm. All
+/// read the same clock, so a later start is a later life, unless it is still to come.
+fn is_younger(now: Duration, known: Life, told: Life) -> bool {
+    told.started < known.started && known.started <= Some(now)
+}
+
 /// All sources' words, merged. See the crate's page.
 #[derive(Debug)]
 pub struct Fleet {
@@ -114,23 +114,23 @@
 
     /// Sources added earlier go before later ones where both list a name.
     pub fn add(&mut self, terms: SourceTerms) -> SourceId {
-        self.sources.push(Source { terms, known: None, heard: None });
+        self.sources.push(Source { terms, known: None, heard: None, listed: 0 });
         SourceId(self.sources.len() as u16 - 1)
     }
 
     pub fn states(&self) -> Vec<SourceState> {
-        let state = |(place, source): (usize, &Source)| SourceState {
+        let state = |source: &Source| SourceState {
             name: source.terms.name.clone(),
             known: source.known,
             heard: source.heard,
-            listed: self.seen.values().filter(|seen| seen.by.contains_key(&SourceId(place as u16))).count(),
+            listed: source.listed,
         };
-        self.sources.iter().enumerate().map(state).collect()
+        self.sources.iter().map(state).collect()
     }
 
     /// Names and what is believed of them now, handed on or not.
     pub fn believed(&self) -> impl Iterator<Item = (Arc<str>, Entry)> {
-        self.seen.iter().filter_map(|(name, seen)| Some((name.clone(), seen.wanted()?)))
+        self.seen.iter().filter_map(|(name, seen)| Some((name.clone(), Entry::clone(&*seen.by.merged()?))))
     }
 
     /// Lives that are remembered as over.
@@ -180,21 +180,19 @@
         };
         let same_epoch = known.is_some_and(|(known, _)| known == epoch);
         self.counts.epochs += usize::from(known.is_some() && !same_epoch);
+        let alone = self.sources.len() == 1;
+        let hand_whole = direct && whole && alone;
         let mut touched = Vec::with_capacity(entries.len());
-        if whole {
-            let named: BTreeSet<&Arc<str>> = entries.iter().map(|told| &told.name).collect();
-            let lists = |seen: &Seen| seen.by.contains_key(&from);
-            let missing = self.seen.iter().filter(|(name, seen)| lists(seen) && !named.contains(name));
-            for name in missing.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
-                self.drop_from(now, from, &name);
+        let missing = if whole { self.missing(from, &entries) } else { Vec::new() };
+        for name in missing {
+            self.drop_from(now, from, &name);
+            if hand_whole {
+                // Told by its absence.
+                self.handed(name);
+            } else {
                 touched.push(name);
             }
         }
-        let alone = self.sources.len() == 1;
-        let hand_whole = direct && whole && alone;
-        if hand_whole {
-            touched.clear();
-        }
         for Told { name, at, what } in entries {
             match what {
                 What::Listed(entry) => self.list(now, from, (epoch, at, same_epoch), &name, entry),
@@ -222,14 +220,31 @@
     /// What the module hears of a name from now on.
     fn handed(&mut self, name: Arc<str>) -> Handed {
         let Some(seen) = self.seen.get_mut(&name) else { return Handed { name, entry: None } };
-        seen.handed = seen.wanted();
-        let entry = seen.handed.clone();
-        if seen.by.is_empty() && seen.flapping.is_over(Duration::ZERO, &Pace::default()) {
+        seen.handed = seen.by.merged();
+        let entry = seen.handed.as_deref().cloned();
+        if seen.by.is_empty() && seen.flapping.is_none() {
             self.seen.remove(&name);
         }
         Handed { name, entry }
     }
 
+    /// Names that the source listed so far and that its new list is without.
+    fn missing(&self, from: SourceId, entries: &[Told]) -> Vec<Arc<str>> {
+        if self.sources[from.0 as usize].listed == 0 {
+            return Vec::new();
+        }
+        let mut named: Vec<&str> = entries.iter().map(|told| &*told.name).collect();
+        named.sort_unstable();
+        let is_missing =
+            |name: &str, seen: &Seen| seen.by.get(from).is_some() && named.binary_search(&name).is_err();
+        let missing = self.seen.iter().filter(|(name, seen)| is_missing(name, seen));
+        missing.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn listing(&self, from: SourceId, name: &str) -> Option<&Listing> {
+        self.seen.get(name).and_then(|seen| seen.by.get(from))
+    }
+
     fn list(
         &mut self,
         now: Duration,
@@ -239,51 +254,45 @@
         mut entry: Entry,
     ) {
         let returns = self.sources[from.0 as usize].terms.returns;
-        if returns == Returns::AsTold {
-            let seen = self.seen.entry(name.clone()).or_default();
-            seen.by.insert(from, Listing { epoch, at, entry, barred: false });
-            return;
-        }
-        let outlived = returns == Returns::UnlessDrained && self.knows_younger(now, from, entry.life, name);
-        if outlived || self.knows_later(from, same_epoch, at, name) {
-            self.counts.stale += 1;
-            return;
-        }
         let mut barred = false;
-        match self.seen.get(name).and_then(|seen| seen.by.get(&from)) {
-            Some(prior) if prior.entry.life == entry.life => {
-                if prior.entry.standing == Standing::Draining {
-                    entry.standing = Standing::Draining;
+        if returns != Returns::AsTold {
+            let prior = self.listing(from, name);
+            let outlived = prior.is_some_and(|prior| is_younger(now, prior.entry.life, entry.life));
+            let later = same_epoch && prior.is_some_and(|prior| at < prior.at);
+            if later || outlived && returns == Returns::UnlessDrained {
+                self.counts.stale += 1;
+                return;
+            }
+            match prior {
+                Some(prior) if prior.entry.life == entry.life => {
+                    if prior.entry.standing == Standing::Draining {
+                        entry.standing = Standing::Draining;
+                    }
+                    barred = prior.barred;
                 }
-                barred = prior.barred;
+                // The name stayed, and another life has it now.
+                Some(_) => self.drop_from(now, from, name),
+                None => {}
             }
-            // The name stayed, and another life has it now.
-            Some(_) => self.drop_from(now, from, name),
-            None => {}
+            barred |= self.dead.bars(name, from, epoch, entry.life);
+            self.counts.barred += usize::from(barred);
         }
-        barred |= self.dead.bars(name, from, epoch, entry.life);
-        self.counts.barred += usize::from(barred);
+        let listing = Listing { source: from, barred, epoch, at, entry: Arc::new(entry) };
         let seen = self.seen.entry(name.clone()).or_default();
-        seen.by.insert(from, Listing { epoch, at, entry, barred });
+        let known = seen.by.insert(listing).is_some();
+        self.sources[from.0 as usize].listed += usize::from(!known);
     }
 
     /// Words of one epoch may overlap, where a whole was read while it changed.
     fn knows_later(&self, from: SourceId, same_epoch: bool, at: Revision, name: &Arc<str>) -> bool {
-        let prior = self.seen.get(name).and_then(|seen| seen.by.get(&from));
-        same_epoch && prior.is_some_and(|prior| at < prior.at)
-    }
-
-    /// An old list may have a name in an earlier life: taken at its word, one that has just started would pass for warm. All
-    /// read the same clock, so a later start is a later life, unless it is still to come.
-    fn knows_younger(&self, now: Duration, from: SourceId, life: Life, name: &Arc<str>) -> bool {
-        let prior = self.seen.get(name).and_then(|seen| seen.by.get(&from)).map(|prior| prior.entry.life);
-        prior.is_some_and(|prior| life.started < prior.started && prior.started <= Some(now))
+        same_epoch && self.listing(from, name).is_some_and(|prior| at < prior.at)
     }
 
     /// A source does not list a name any more: that life is over, in other sources' words too if it was drained.
     fn drop_from(&mut self, now: Duration, from: SourceId, name: &Arc<str>) {
         let Some(seen) = self.seen.get_mut(name) else { return };
-        let Some(listing) = seen.by.remove(&from) else { return };
+        let Some(listing) = seen.by.remove(from) else { return };
+        self.sources[from.0 as usize].listed -= 1;
         let drained = listing.entry.standing == Standing::Draining;
         let ends = match self.sources[from.0 as usize].terms.returns {
             Returns::AsTold => false,
@@ -294,9 +303,9 @@
             return;
         }
         let death = Death { source: from, epoch: listing.epoch, life: listing.entry.life, drained };
-        for (other, listing) in &mut seen.by {
-            let strict = self.sources[other.0 as usize].terms.returns == Returns::InNewLife;
-            listing.barred |= strict && death.bars(*other, listing.epoch, listing.entry.life);
+        for listing in seen.by.iter_mut() {
+            let strict = self.sources[listing.source.0 as usize].terms.returns == Returns::InNewLife;
+            listing.barred |= strict && death.bars(listing.source, listing.epoch, listing.entry.life);
         }
         self.dead.lay(now, name, death);
     }
@@ -324,30 +333,30 @@
         let mut came = false;
         for name in std::mem::take(&mut self.pending) {
             let Some(seen) = self.seen.get_mut(&name) else { continue };
-            let wanted = seen.wanted();
+            let wanted = seen.by.merged();
             if wanted == seen.handed {
                 continue;
             }
-            let runs = |entry: &&Entry| entry.standing == Standing::Running;
+            let runs = |entry: &&Arc<Entry>| entry.standing == Standing::Running;
             let (comes, was) = (wanted.as_ref().filter(runs), seen.handed.clone());
             let was = was.as_ref().filter(runs);
             let ends = was.is_some_and(|was| comes.is_none_or(|comes| comes.life != was.life));
             if ends || was.is_none() && comes.is_none() {
                 if ends {
-                    seen.flapping.left(now, &pace);
-                    self.counts.held += usize::from(seen.flapping.held_until > now && comes.is_some());
+                    seen.flapping.get_or_insert_default().left(now, &pace);
+                    self.counts.held += usize::from(seen.held_until() > now && comes.is_some());
                 }
                 // That a life ended is told at once, though another waits for its turn.
                 let told = wanted.clone().filter(|entry| entry.standing != Standing::Running);
                 if told != seen.handed {
-                    entries.push(Handed { name: name.clone(), entry: told.clone() });
+                    entries.push(Handed { name: name.clone(), entry: told.as_deref().cloned() });
                 }
                 seen.handed = told;
                 if comes.is_none() {
                     continue;
                 }
             }
-            let held = if seen.handed.is_some() { Duration::ZERO } else { seen.flapping.held_until };
+            let held = if seen.handed.is_some() { Duration::ZERO } else { seen.held_until() };
             let from = gathered.max(held);
             if from > now || !bucket.take() {
                 wait(if from > now { from } else { bucket.next(&pace).max(now + LEAST_WAIT) });
@@ -355,8 +364,8 @@
                 continue;
             }
             came = true;
-            seen.handed = wanted.clone();
-            entries.push(Handed { name, entry: wanted });
+            entries.push(Handed { name, entry: wanted.as_deref().cloned() });
+            seen.handed = wanted;
         }
         (self.pending, self.bucket, self.due) = (later, Some(bucket), next);
         if came || first {
@@ -375,7 +384,7 @@
         let pending = &self.pending;
         self.seen.retain(|name, seen| {
             let needed = !seen.by.is_empty() || seen.handed.is_some() || pending.contains(name);
-            needed || !seen.flapping.is_over(now, pace)
+            needed || !seen.is_steady(now, pace)
         });
         self.counts.forgotten += self.dead.forget(now, &self.bounds);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 
 mod dead;
 mod fleet;
+mod listings;
 mod pace;
 mod word;
 
