--- a/crates/dns/src/file.rs
+++ b/crates/dns/src/file.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use dahliaroad_fleet::{Verdict, Word};
+use dahliaroad_fleet::{Freshness, SourceMessage};
 use tokio::time::sleep;
 
 use crate::watch::{Look, Step, Tally, Watch};
@@ -33,7 +33,7 @@
     path: &Path,
     mut watch: Watch,
     pause: Duration,
-    mut tell: impl AsyncFnMut(Word) -> Verdict,
+    mut tell: impl AsyncFnMut(SourceMessage) -> Freshness,
     mut count: impl FnMut(&Tally),
 ) {
     loop {
--- a/crates/dns/src/mapping.rs
+++ b/crates/dns/src/mapping.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahliaroad_fleet::{Places, Standing};
+use dahliaroad_fleet::{Places, ServingState};
 
 use crate::zone::{Data, Zone};
 
@@ -33,7 +33,7 @@
     pub zone: dahliaroad::interface::ZoneId,
     pub kind: u32,
     pub weight: f64,
-    pub standing: Standing,
+    pub standing: ServingState,
     pub started: Option<Duration>,
 }
 
@@ -73,7 +73,7 @@
         for of in &candidates {
             match self.listing(zone, of, positive) {
                 Ok(listing) => {
-                    let runs = listing.standing == Standing::Running;
+                    let runs = listing.standing == ServingState::Running;
                     lowest = if runs { Some(lowest.unwrap_or(of.priority).min(of.priority)) } else { lowest };
                     if listed.insert(of.name.clone(), listing).is_some() {
                         let what = "listed twice with the same port: the last record holds".to_owned();
@@ -89,8 +89,8 @@
         // Only where none of the lower number is left are those of the next ones used (RFC 2782).
         for (name, listing) in &mut listed {
             let behind = lowest.is_some_and(|lowest| priorities[name] > lowest);
-            if behind && listing.standing == Standing::Running {
-                listing.standing = Standing::Aside;
+            if behind && listing.standing == ServingState::Running {
+                listing.standing = ServingState::Aside;
             }
         }
         (listed, findings)
@@ -194,7 +194,7 @@
             (None, 1) => dahliaroad::interface::ZoneId(0),
             (None, _) => return Err(("no TXT record tells its zone=".to_owned(), true)),
         };
-        let standing = Standing::of(word("state")).map_err(|what| (what, true))?;
+        let standing = ServingState::of(word("state")).map_err(|what| (what, true))?;
         let started = match word("started_ms") {
             None | Some("0") => None,
             Some(text) => {
--- a/crates/dns/src/watch.rs
+++ b/crates/dns/src/watch.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dahliaroad_fleet::{Entry, Epoch, Life, Revision, Told, What, Word};
+use dahliaroad_fleet::{Entry, EntryState, EntryUpdate, Epoch, Incarnation, Revision, SourceMessage};
 
 use crate::mapping::{Listing, Schema};
 use crate::serial::ahead;
@@ -76,7 +76,7 @@
 
     /// The file as it looks now; `None`: it is not there, which says nothing about the zone. A zone whose file stands is
     /// vouched for by each look.
-    pub fn looked(&mut self, look: Option<Look>) -> (Step, Option<Word>) {
+    pub fn looked(&mut self, look: Option<Look>) -> (Step, Option<SourceMessage>) {
         match look {
             None => {
                 self.tally.unseen += 1;
@@ -84,7 +84,7 @@
             }
             Some(look) if self.read != Some(look) => (Step::Read, None),
             Some(_) if self.refused || self.good.is_none() => (Step::Rest, None),
-            Some(_) => (Step::Rest, Some(Word::Nothing { epoch: EPOCH, revision: self.revision })),
+            Some(_) => (Step::Rest, Some(SourceMessage::Nothing { epoch: EPOCH, revision: self.revision })),
         }
     }
 
@@ -94,7 +94,7 @@
         before: Option<Look>,
         zone: Result<Zone, Vec<Fault>>,
         after: Option<Look>,
-    ) -> Result<Option<Word>, Vec<Fault>> {
+    ) -> Result<Option<SourceMessage>, Vec<Fault>> {
         if before != after || before.is_none() {
             self.tally.torn += 1;
             return Ok(None);
@@ -114,11 +114,11 @@
     }
 
     /// Whether a zone that could be read takes the place of the one that is known.
-    fn judge(&mut self, zone: Zone) -> Result<Option<Word>, Vec<Fault>> {
+    fn judge(&mut self, zone: Zone) -> Result<Option<SourceMessage>, Vec<Fault>> {
         let refused = |what| vec![Fault { file: self.file.clone(), line: 0, what }];
         match &self.good {
             Some(known) if !zone.follows(known).map_err(refused)? => {
-                return Ok(Some(Word::Nothing { epoch: EPOCH, revision: self.revision }));
+                return Ok(Some(SourceMessage::Nothing { epoch: EPOCH, revision: self.revision }));
             }
             Some(known) => self.revision.0 += ahead(known.serial, zone.serial),
             None => self.revision = Revision(u64::from(zone.serial) + 1),
@@ -129,7 +129,7 @@
         Ok(Some(word))
     }
 
-    fn word(&mut self, zone: &Zone) -> Word {
+    fn word(&mut self, zone: &Zone) -> SourceMessage {
         let (listed, findings) = self.schema.map(zone);
         for finding in &findings {
             tracing::warn!("{}: {}: {}", self.file, finding.owner, finding.what);
@@ -138,19 +138,20 @@
         let unreadable: Vec<&str> =
             findings.iter().filter(|finding| finding.unreadable).map(|finding| &*finding.owner).collect();
         first_listed.retain(|name, _| listed.contains_key(name) || unreadable.contains(&&**name));
-        let mut entries: Vec<Told> = Vec::with_capacity(listed.len());
+        let mut entries: Vec<EntryUpdate> = Vec::with_capacity(listed.len());
         for (name, listing) in listed {
             let created = *first_listed.entry(name.clone()).or_insert(revision);
-            let what = What::Listed(entry(listing, created));
-            entries.push(Told { name: name.into(), at: revision, what });
+            let what = EntryState::Listed(entry(listing, created));
+            entries.push(EntryUpdate { name: name.into(), at: revision, state: what });
         }
-        let there = |name: &&str| Told { name: (*name).into(), at: revision, what: What::Unreadable };
+        let there =
+            |name: &&str| EntryUpdate { name: (*name).into(), at: revision, state: EntryState::Unreadable };
         entries.extend(unreadable.iter().map(there));
-        Word::Whole { epoch: EPOCH, revision, entries }
+        SourceMessage::Whole { epoch: EPOCH, revision, entries }
     }
 }
 
 fn entry(listing: Listing, created: Revision) -> Entry {
     let Listing { dial, zone, kind, weight, standing, started } = listing;
-    Entry { life: Life { started, created }, dial: Some(dial), zone, kind, weight, standing }
+    Entry { incarnation: Incarnation { started, created }, dial: Some(dial), zone, kind, weight, standing }
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dead::{Dead, Death};
 use crate::listings::{Listing, Listings};
+use crate::message::*;
 use crate::pace::{Bucket, Flapping, Pace};
-use crate::word::*;
+use crate::tombstones::{Tombstone, Tombstones};
 
 /// What rounds to no wait at all would be asked for again and again.
 const LEAST_WAIT: Duration = Duration::from_millis(1);
@@ -59,7 +59,7 @@
     pub gaps: usize,
     pub epochs: usize,
     /// Listings of a life that was over.
-    pub barred: usize,
+    pub blocked: usize,
     pub unreadable: usize,
     pub forgotten: usize,
     /// Returns that were held back as flapping.
@@ -68,14 +68,14 @@
 
 /// What became of a word, and what goes to the module at once.
 #[derive(Debug, PartialEq)]
-pub struct Heard {
-    pub verdict: Verdict,
-    pub handover: Option<Handover>,
+pub struct Applied {
+    pub verdict: Freshness,
+    pub changes: Option<Changes>,
 }
 
 /// An old list may have a name in an earlier life: taken at its word, one that has just started would pass for warm. All
 /// read the same clock, so a later start is a later life, unless it is still to come.
-fn is_younger(now: Duration, known: Life, told: Life) -> bool {
+fn is_younger(now: Duration, known: Incarnation, told: Incarnation) -> bool {
     told.started < known.started && known.started <= Some(now)
 }
 
@@ -85,7 +85,7 @@
     bounds: Bounds,
     sources: Vec<Source>,
     seen: BTreeMap<Arc<str>, Seen>,
-    dead: Dead,
+    tombstones: Tombstones,
     /// Of paced sources: names whose state is not yet handed on.
     pending: BTreeSet<Arc<str>>,
     bucket: Option<Bucket>,
@@ -102,7 +102,7 @@
             bounds,
             sources: Vec::new(),
             seen: BTreeMap::new(),
-            dead: Dead::default(),
+            tombstones: Tombstones::default(),
             pending: BTreeSet::new(),
             bucket: None,
             handed_at: None,
@@ -135,7 +135,7 @@
 
     /// Lives that are remembered as over.
     pub fn dead(&self) -> usize {
-        self.dead.len()
+        self.tombstones.len()
     }
 
     /// Names that are kept, listed or not.
@@ -143,40 +143,40 @@
         self.seen.len()
     }
 
-    fn judge(&self, source: &Source, word: &Word) -> Verdict {
+    fn judge(&self, source: &Source, word: &SourceMessage) -> Freshness {
         let (epoch, revision) = word.at();
         let direct = source.terms.pace.is_none();
         match (word, source.known) {
-            (_, Some((known, _))) if epoch < known => Verdict::Stale,
-            (_, Some((known, at))) if epoch == known && revision < at => Verdict::Stale,
-            (Word::Whole { .. }, _) => Verdict::Taken,
-            (_, Some((known, _))) if epoch > known => Verdict::Gap,
-            (Word::Changes { .. }, _) if direct => Verdict::Taken,
-            (Word::Changes { .. }, Some((_, at))) if revision == at => Verdict::Stale,
-            (Word::Changes { after, .. }, Some((_, at))) if *after <= at => Verdict::Taken,
-            (Word::Nothing { .. }, Some(_)) => Verdict::Taken,
-            _ => Verdict::Gap,
+            (_, Some((known, _))) if epoch < known => Freshness::Stale,
+            (_, Some((known, at))) if epoch == known && revision < at => Freshness::Stale,
+            (SourceMessage::Whole { .. }, _) => Freshness::Taken,
+            (_, Some((known, _))) if epoch > known => Freshness::Gap,
+            (SourceMessage::Changes { .. }, _) if direct => Freshness::Taken,
+            (SourceMessage::Changes { .. }, Some((_, at))) if revision == at => Freshness::Stale,
+            (SourceMessage::Changes { after, .. }, Some((_, at))) if *after <= at => Freshness::Taken,
+            (SourceMessage::Nothing { .. }, Some(_)) => Freshness::Taken,
+            _ => Freshness::Gap,
         }
     }
 
     /// Takes up what a source says. What a direct source changes is to go to the module now; the rest is told by
-    /// [`hand`](Fleet::hand).
-    pub fn hear(&mut self, now: Duration, from: SourceId, word: Word) -> Heard {
+    /// [`take_changes`](Fleet::take_changes).
+    pub fn apply(&mut self, now: Duration, from: SourceId, word: SourceMessage) -> Applied {
         let source = &self.sources[from.0 as usize];
         let verdict = self.judge(source, &word);
         let (direct, known) = (source.terms.pace.is_none(), source.known);
-        self.counts.stale += usize::from(verdict == Verdict::Stale);
-        self.counts.gaps += usize::from(verdict == Verdict::Gap);
+        self.counts.stale += usize::from(verdict == Freshness::Stale);
+        self.counts.gaps += usize::from(verdict == Freshness::Gap);
         let source = &mut self.sources[from.0 as usize];
         source.heard = Some(now);
-        if verdict != Verdict::Taken {
-            return Heard { verdict, handover: None };
+        if verdict != Freshness::Taken {
+            return Applied { verdict, changes: None };
         }
         source.known = Some(word.at());
         let (epoch, whole, entries) = match word {
-            Word::Nothing { .. } => return Heard { verdict, handover: None },
-            Word::Whole { epoch, entries, .. } => (epoch, true, entries),
-            Word::Changes { epoch, entries, .. } => (epoch, false, entries),
+            SourceMessage::Nothing { .. } => return Applied { verdict, changes: None },
+            SourceMessage::Whole { epoch, entries, .. } => (epoch, true, entries),
+            SourceMessage::Changes { epoch, entries, .. } => (epoch, false, entries),
         };
         let same_epoch = known.is_some_and(|(known, _)| known == epoch);
         self.counts.epochs += usize::from(known.is_some() && !same_epoch);
@@ -193,43 +193,43 @@
                 touched.push(name);
             }
         }
-        for Told { name, at, what } in entries {
-            match what {
-                What::Listed(entry) => self.list(now, from, (epoch, at, same_epoch), &name, entry),
-                What::Gone if self.knows_later(from, same_epoch, at, &name) => self.counts.stale += 1,
-                What::Gone => self.drop_from(now, from, &name),
-                What::Unreadable => self.counts.unreadable += 1,
+        for EntryUpdate { name, at, state } in entries {
+            match state {
+                EntryState::Listed(entry) => self.list(now, from, (epoch, at, same_epoch), &name, entry),
+                EntryState::Gone if self.knows_later(from, same_epoch, at, &name) => self.counts.stale += 1,
+                EntryState::Gone => self.drop_from(now, from, &name),
+                EntryState::Unreadable => self.counts.unreadable += 1,
             }
             touched.push(name);
         }
-        self.counts.forgotten += self.dead.forget(now, &self.bounds);
+        self.counts.forgotten += self.tombstones.forget(now, &self.bounds);
         if direct {
             let entries = touched.into_iter().map(|name| self.handed(name)).collect();
-            return Heard { verdict, handover: Some(Handover { whole: hand_whole, entries }) };
+            return Applied { verdict, changes: Some(Changes { whole: hand_whole, entries }) };
         }
         self.pending.extend(touched);
         if whole && let Some(pace) = self.pace() {
-            // However much a reread found, it is one handover.
+            // However much a reread found, it is handed on at once.
             let room = Pace { burst: pace.burst.max(self.pending.len() as f64), ..pace };
             self.bucket = Some(Bucket::full(&room));
         }
         self.due = Some(now);
-        Heard { verdict, handover: None }
+        Applied { verdict, changes: None }
     }
 
     /// What the module hears of a name from now on.
-    fn handed(&mut self, name: Arc<str>) -> Handed {
-        let Some(seen) = self.seen.get_mut(&name) else { return Handed { name, entry: None } };
+    fn handed(&mut self, name: Arc<str>) -> Change {
+        let Some(seen) = self.seen.get_mut(&name) else { return Change { name, entry: None } };
         seen.handed = seen.by.merged();
         let entry = seen.handed.as_deref().cloned();
         if seen.by.is_empty() && seen.flapping.is_none() {
             self.seen.remove(&name);
         }
-        Handed { name, entry }
+        Change { name, entry }
     }
 
     /// Names that the source listed so far and that its new list is without.
-    fn missing(&self, from: SourceId, entries: &[Told]) -> Vec<Arc<str>> {
+    fn missing(&self, from: SourceId, entries: &[EntryUpdate]) -> Vec<Arc<str>> {
         if self.sources[from.0 as usize].listed == 0 {
             return Vec::new();
         }
@@ -254,30 +254,31 @@
         mut entry: Entry,
     ) {
         let returns = self.sources[from.0 as usize].terms.returns;
-        let mut barred = false;
+        let mut blocked = false;
         if returns != Returns::AsTold {
             let prior = self.listing(from, name);
-            let outlived = prior.is_some_and(|prior| is_younger(now, prior.entry.life, entry.life));
+            let outlived =
+                prior.is_some_and(|prior| is_younger(now, prior.entry.incarnation, entry.incarnation));
             let later = same_epoch && prior.is_some_and(|prior| at < prior.at);
             if later || outlived && returns == Returns::UnlessDrained {
                 self.counts.stale += 1;
                 return;
             }
             match prior {
-                Some(prior) if prior.entry.life == entry.life => {
-                    if prior.entry.standing == Standing::Draining {
-                        entry.standing = Standing::Draining;
+                Some(prior) if prior.entry.incarnation == entry.incarnation => {
+                    if prior.entry.standing == ServingState::Draining {
+                        entry.standing = ServingState::Draining;
                     }
-                    barred = prior.barred;
+                    blocked = prior.blocked;
                 }
                 // The name stayed, and another life has it now.
                 Some(_) => self.drop_from(now, from, name),
                 None => {}
             }
-            barred |= self.dead.bars(name, from, epoch, entry.life);
-            self.counts.barred += usize::from(barred);
+            blocked |= self.tombstones.blocks(name, from, epoch, entry.incarnation);
+            self.counts.blocked += usize::from(blocked);
         }
-        let listing = Listing { source: from, barred, epoch, at, entry: Arc::new(entry) };
+        let listing = Listing { source: from, blocked, epoch, at, entry: Arc::new(entry) };
         let seen = self.seen.entry(name.clone()).or_default();
         let known = seen.by.insert(listing).is_some();
         self.sources[from.0 as usize].listed += usize::from(!known);
@@ -293,34 +294,36 @@
         let Some(seen) = self.seen.get_mut(name) else { return };
         let Some(listing) = seen.by.remove(from) else { return };
         self.sources[from.0 as usize].listed -= 1;
-        let drained = listing.entry.standing == Standing::Draining;
+        let drained = listing.entry.standing == ServingState::Draining;
         let ends = match self.sources[from.0 as usize].terms.returns {
             Returns::AsTold => false,
             Returns::UnlessDrained => drained,
             Returns::InNewLife => true,
         };
-        if listing.barred || !ends {
+        if listing.blocked || !ends {
             return;
         }
-        let death = Death { source: from, epoch: listing.epoch, life: listing.entry.life, drained };
+        let death =
+            Tombstone { source: from, epoch: listing.epoch, incarnation: listing.entry.incarnation, drained };
         for listing in seen.by.iter_mut() {
             let strict = self.sources[listing.source.0 as usize].terms.returns == Returns::InNewLife;
-            listing.barred |= strict && death.bars(listing.source, listing.epoch, listing.entry.life);
+            listing.blocked |=
+                strict && death.blocks(listing.source, listing.epoch, listing.entry.incarnation);
         }
-        self.dead.lay(now, name, death);
+        self.tombstones.insert(now, name, death);
     }
 
     fn pace(&self) -> Option<Pace> {
         self.sources.iter().find_map(|source| source.terms.pace)
     }
 
-    /// When [`hand`](Fleet::hand) is to be called next, if nothing is heard before.
+    /// When [`take_changes`](Fleet::take_changes) is to be called next, if nothing is heard before.
     pub fn due(&self) -> Option<Duration> {
         self.due
     }
 
     /// What the module is to hear now of paced sources: what takes endpoints out at once, the rest by the pace.
-    pub fn hand(&mut self, now: Duration) -> Option<Handover> {
+    pub fn take_changes(&mut self, now: Duration) -> Option<Changes> {
         let pace = self.pace()?;
         self.sweep(now, &pace);
         let mut bucket = self.bucket.unwrap_or(Bucket::full(&pace));
@@ -337,19 +340,19 @@
             if wanted == seen.handed {
                 continue;
             }
-            let runs = |entry: &&Arc<Entry>| entry.standing == Standing::Running;
+            let runs = |entry: &&Arc<Entry>| entry.standing == ServingState::Running;
             let (comes, was) = (wanted.as_ref().filter(runs), seen.handed.clone());
             let was = was.as_ref().filter(runs);
-            let ends = was.is_some_and(|was| comes.is_none_or(|comes| comes.life != was.life));
+            let ends = was.is_some_and(|was| comes.is_none_or(|comes| comes.incarnation != was.incarnation));
             if ends || was.is_none() && comes.is_none() {
                 if ends {
                     seen.flapping.get_or_insert_default().left(now, &pace);
                     self.counts.held += usize::from(seen.held_until() > now && comes.is_some());
                 }
                 // That a life ended is told at once, though another waits for its turn.
-                let told = wanted.clone().filter(|entry| entry.standing != Standing::Running);
+                let told = wanted.clone().filter(|entry| entry.standing != ServingState::Running);
                 if told != seen.handed {
-                    entries.push(Handed { name: name.clone(), entry: told.as_deref().cloned() });
+                    entries.push(Change { name: name.clone(), entry: told.as_deref().cloned() });
                 }
                 seen.handed = told;
                 if comes.is_none() {
@@ -364,7 +367,7 @@
                 continue;
             }
             came = true;
-            entries.push(Handed { name, entry: wanted.as_deref().cloned() });
+            entries.push(Change { name, entry: wanted.as_deref().cloned() });
             seen.handed = wanted;
         }
         (self.pending, self.bucket, self.due) = (later, Some(bucket), next);
@@ -372,7 +375,7 @@
             self.handed_at = Some(now);
         }
         let whole = first && self.sources.len() == 1;
-        (whole || !entries.is_empty()).then_some(Handover { whole, entries })
+        (whole || !entries.is_empty()).then_some(Changes { whole, entries })
     }
 
     /// Lets go of names that no source lists and whose coming and going is long past.
@@ -386,6 +389,6 @@
             let needed = !seen.by.is_empty() || seen.handed.is_some() || pending.contains(name);
             needed || !seen.is_steady(now, pace)
         });
-        self.counts.forgotten += self.dead.forget(now, &self.bounds);
+        self.counts.forgotten += self.tombstones.forget(now, &self.bounds);
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,35 +10,35 @@
 //! let mut fleet = Fleet::new(Bounds::default());
 //! let source = fleet.add(SourceTerms::new("registry"));
 //! let now = Duration::from_secs(1);
-//! let listed = |at, life, standing| Told {
+//! let listed = |at, life, standing| EntryUpdate {
 //!     name: "a".into(),
 //!     at: Revision(at),
-//!     what: What::Listed(Entry { life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing }),
+//!     state: EntryState::Listed(Entry { incarnation: life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing }),
 //! };
-//! let life = Life { started: None, created: Revision(3) };
-//! let whole = Word::Whole { epoch: Epoch(1), revision: Revision(9), entries: vec![listed(3, life, Standing::Running)] };
-//! fleet.hear(now, source, whole);
-//! assert_eq!(fleet.hand(now).unwrap().entries.len(), 1);
-//! let change = |revision, entries| Word::Changes {
+//! let life = Incarnation { started: None, created: Revision(3) };
+//! let whole = SourceMessage::Whole { epoch: Epoch(1), revision: Revision(9), entries: vec![listed(3, life, ServingState::Running)] };
+//! fleet.apply(now, source, whole);
+//! assert_eq!(fleet.take_changes(now).unwrap().entries.len(), 1);
+//! let change = |revision, entries| SourceMessage::Changes {
 //!     epoch: Epoch(1), after: Revision(revision - 1), revision: Revision(revision), entries };
-//! fleet.hear(now, source, change(10, vec![listed(10, life, Standing::Draining)]));
-//! let drained = fleet.hand(now).unwrap().entries.remove(0).entry.unwrap();
-//! assert_eq!(drained.standing, Standing::Draining);
+//! fleet.apply(now, source, change(10, vec![listed(10, life, ServingState::Draining)]));
+//! let drained = fleet.take_changes(now).unwrap().entries.remove(0).entry.unwrap();
+//! assert_eq!(drained.standing, ServingState::Draining);
 //! // Nothing short of a new life takes a drain back.
-//! fleet.hear(now, source, change(11, vec![listed(11, life, Standing::Running)]));
-//! assert_eq!(fleet.hand(now), None);
+//! fleet.apply(now, source, change(11, vec![listed(11, life, ServingState::Running)]));
+//! assert_eq!(fleet.take_changes(now), None);
 //! ```
 
-mod dead;
 mod fleet;
 mod listings;
+mod message;
 mod pace;
-mod word;
+mod tombstones;
 
-pub use dead::{Dead, Death};
-pub use fleet::{Counts, Fleet, Heard, SourceState};
-pub use pace::Pace;
-pub use word::{
-    Bounds, Entry, Epoch, Handed, Handover, Life, Places, Returns, Revision, SourceId, SourceTerms, Standing,
-    Told, Verdict, What, Word,
+pub use fleet::{Applied, Counts, Fleet, SourceState};
+pub use message::{
+    Bounds, Change, Changes, Entry, EntryState, EntryUpdate, Epoch, Freshness, Incarnation, Places, Returns,
+    Revision, ServingState, SourceId, SourceMessage, SourceTerms,
 };
+pub use pace::Pace;
+pub use tombstones::{Tombstone, Tombstones};
--- a/crates/fleet/src/listings.rs
+++ b/crates/fleet/src/listings.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use crate::word::{Entry, Epoch, Revision, SourceId, Standing};
+use crate::message::{Entry, Epoch, Revision, ServingState, SourceId};
 
 /// What one source last said of a name.
 #[derive(Clone, Debug)]
 pub(crate) struct Listing {
     pub source: SourceId,
     /// This life is over, whatever the source says.
-    pub barred: bool,
+    pub blocked: bool,
     /// When it was said: its life's numbers are of that history.
     pub epoch: Epoch,
     pub at: Revision,
@@ -71,9 +71,9 @@
     /// What is believed of the name: the first source that lists it tells its figures; a drain is one whichever source
     /// tells of it.
     pub fn merged(&self) -> Option<Arc<Entry>> {
-        let mut alive = self.iter().filter(|listing| !listing.barred);
+        let mut alive = self.iter().filter(|listing| !listing.blocked);
         let first = &alive.next()?.entry;
-        let standing = alive.map(|listing| listing.entry.standing).fold(first.standing, Standing::max);
+        let standing = alive.map(|listing| listing.entry.standing).fold(first.standing, ServingState::max);
         if standing == first.standing {
             return Some(first.clone());
         }
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/message.rs
@@ -42,7 +42,7 @@
 
 /// Which life of a name this is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Life {
+pub struct Incarnation {
     /// Its start, as it says itself, since 1970; `None` where it says none.
     pub started: Option<Duration>,
     /// Where in its source's history the name was last made anew.
@@ -51,7 +51,7 @@
 
 /// What may be sent to an endpoint, the more the earlier.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
+pub enum ServingState {
     #[default]
     Running,
     /// To be sent nothing for now, by a health check or for maintenance: it may come back as it is.
@@ -60,19 +60,22 @@
     Draining,
 }
 
-impl Standing {
-    const WORDS: [(&str, Standing); 3] =
-        [("running", Standing::Running), ("aside", Standing::Aside), ("draining", Standing::Draining)];
+impl ServingState {
+    const WORDS: [(&str, ServingState); 3] = [
+        ("running", ServingState::Running),
+        ("aside", ServingState::Aside),
+        ("draining", ServingState::Draining),
+    ];
 
     /// As sources write it.
     pub fn word(self) -> &'static str {
-        Standing::WORDS[self as usize].0
+        ServingState::WORDS[self as usize].0
     }
 
     /// Of a source's word; running, where there is none. The error names what was expected.
-    pub fn of(word: Option<&str>) -> Result<Standing, String> {
-        let Some(word) = word else { return Ok(Standing::Running) };
-        let known = Standing::WORDS.iter().find(|(known, _)| *known == word);
+    pub fn of(word: Option<&str>) -> Result<ServingState, String> {
+        let Some(word) = word else { return Ok(ServingState::Running) };
+        let known = ServingState::WORDS.iter().find(|(known, _)| *known == word);
         known
             .map(|(_, standing)| *standing)
             .ok_or_else(|| format!("state is not running, aside or draining: {word:?}"))
@@ -82,17 +85,17 @@
 /// An endpoint as one source has it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub dial: Option<SocketAddr>,
     pub zone: ZoneId,
     /// The kind of machine, by number.
     pub kind: u32,
     pub weight: f64,
-    pub standing: Standing,
+    pub standing: ServingState,
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum What {
+pub enum EntryState {
     Listed(Entry),
     /// There, in words that cannot be read: what was last known of it stands.
     Unreadable,
@@ -102,38 +105,38 @@
 
 /// What is said of one name.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct EntryUpdate {
     pub name: Arc<str>,
     /// Where in the source's history this was said.
     pub at: Revision,
-    pub what: What,
+    pub state: EntryState,
 }
 
 /// What a source says at one moment.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Word {
+pub enum SourceMessage {
     /// All there is as of a revision: who is missing is gone.
-    Whole { epoch: Epoch, revision: Revision, entries: Vec<Told> },
+    Whole { epoch: Epoch, revision: Revision, entries: Vec<EntryUpdate> },
     /// All that changed behind `after`, up to and with `revision`, in order; each revision whole.
-    Changes { epoch: Epoch, after: Revision, revision: Revision, entries: Vec<Told> },
+    Changes { epoch: Epoch, after: Revision, revision: Revision, entries: Vec<EntryUpdate> },
     /// Nothing has changed up to here.
     Nothing { epoch: Epoch, revision: Revision },
 }
 
-impl Word {
+impl SourceMessage {
     /// How far in its source's history it leads.
     pub fn at(&self) -> (Epoch, Revision) {
         match self {
-            Word::Whole { epoch, revision, .. }
-            | Word::Changes { epoch, revision, .. }
-            | Word::Nothing { epoch, revision } => (*epoch, *revision),
+            SourceMessage::Whole { epoch, revision, .. }
+            | SourceMessage::Changes { epoch, revision, .. }
+            | SourceMessage::Nothing { epoch, revision } => (*epoch, *revision),
         }
     }
 }
 
 /// What became of a word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Freshness {
     Taken,
     /// Older than what is known, or known already: left out.
     Stale,
@@ -189,14 +192,14 @@
 
 /// What the module is to hear of one name; `None`: gone.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Handed {
+pub struct Change {
     pub name: Arc<str>,
     pub entry: Option<Entry>,
 }
 
 /// What the module is to hear at one moment. A whole list has no other endpoints than these.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Handover {
+pub struct Changes {
     pub whole: bool,
-    pub entries: Vec<Handed>,
+    pub entries: Vec<Change>,
 }
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -8,7 +8,7 @@
     /// Changes a second, and at once.
     pub changes: f64,
     pub burst: f64,
-    /// What comes within this of the last handover goes with the next.
+    /// What comes within this of the last hand-over goes with the next.
     pub gather: Duration,
     /// How long one that came back is held, doubled each time it does, up to the longest; the first is free.
     pub hold: Duration,
--- a/crates/fleet/src/dead.rs
+++ b/crates/fleet/src/tombstones.rs
@@ -4,63 +4,67 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::word::{Bounds, Epoch, Life, SourceId};
+use crate::message::{Bounds, Epoch, Incarnation, SourceId};
 
 /// A life that is over.
 #[derive(Clone, Debug)]
-pub struct Death {
+pub struct Tombstone {
     pub source: SourceId,
     pub epoch: Epoch,
-    pub life: Life,
+    pub incarnation: Incarnation,
     /// It was told to complete its work before it went, and so was not just lost from the list.
     pub drained: bool,
 }
 
-impl Death {
+impl Tombstone {
     /// Whether an entry that a source lists now may be of this life or an earlier one. A new one has to show itself:
     /// by a later start; else, unless the old one was drained, by being registered anew. Numbers of another epoch
     /// cannot be compared, but a restored backup has the very ones it had.
-    pub fn bars(&self, source: SourceId, epoch: Epoch, life: Life) -> bool {
+    pub fn blocks(&self, source: SourceId, epoch: Epoch, incarnation: Incarnation) -> bool {
         // No start told: long past.
-        if life.started > self.life.started {
+        if incarnation.started > self.incarnation.started {
             return false;
         }
-        let earlier = life.started < self.life.started;
+        let earlier = incarnation.started < self.incarnation.started;
         let anew = match (source == self.source, epoch == self.epoch) {
-            (true, true) => life.created > self.life.created,
-            (true, false) => life.created != self.life.created && !earlier,
+            (true, true) => incarnation.created > self.incarnation.created,
+            (true, false) => incarnation.created != self.incarnation.created && !earlier,
             // Another source that lists what was only dropped here lists it still.
             (false, _) => !self.drained && !earlier,
         };
-        let same_start = life.started.is_some() && !earlier;
+        let same_start = incarnation.started.is_some() && !earlier;
         same_start && self.drained || !anew
     }
 }
 
-/// The deaths that are remembered, a bounded number for a bounded time.
+/// The tombstones that are remembered, a bounded number for a bounded time.
 #[derive(Debug, Default)]
-pub struct Dead {
-    by_name: BTreeMap<Arc<str>, Vec<Death>>,
+pub struct Tombstones {
+    by_name: BTreeMap<Arc<str>, Vec<Tombstone>>,
     by_age: VecDeque<(Duration, Arc<str>)>,
 }
 
-impl Dead {
-    pub fn lay(&mut self, now: Duration, name: &Arc<str>, death: Death) {
-        let deaths = self.by_name.entry(name.clone()).or_default();
-        let same =
-            |old: &&mut Death| (old.source, old.epoch, old.life) == (death.source, death.epoch, death.life);
-        // One that is dropped, then said to have drained, is one death.
-        if let Some(old) = deaths.iter_mut().find(same) {
-            old.drained |= death.drained;
+impl Tombstones {
+    pub fn insert(&mut self, now: Duration, name: &Arc<str>, tombstone: Tombstone) {
+        let tombstones = self.by_name.entry(name.clone()).or_default();
+        let same = |old: &&mut Tombstone| {
+            (old.source, old.epoch, old.incarnation)
+                == (tombstone.source, tombstone.epoch, tombstone.incarnation)
+        };
+        // One that is dropped, then said to have drained, is one tombstone.
+        if let Some(old) = tombstones.iter_mut().find(same) {
+            old.drained |= tombstone.drained;
             return;
         }
-        deaths.push(death);
+        tombstones.push(tombstone);
         self.by_age.push_back((now, name.clone()));
     }
 
-    pub fn bars(&self, name: &str, source: SourceId, epoch: Epoch, life: Life) -> bool {
-        let deaths = self.by_name.get(name);
-        deaths.is_some_and(|deaths| deaths.iter().any(|death| death.bars(source, epoch, life)))
+    pub fn blocks(&self, name: &str, source: SourceId, epoch: Epoch, incarnation: Incarnation) -> bool {
+        let tombstones = self.by_name.get(name);
+        tombstones.is_some_and(|tombstones| {
+            tombstones.iter().any(|tombstone| tombstone.blocks(source, epoch, incarnation))
+        })
     }
 
     /// Forgets what is beyond the bounds, the longest dead first; tells how many.
@@ -71,9 +75,9 @@
                 break;
             }
             // Deaths of a name are in the order in which they came, as those of all names are.
-            if let Some(deaths) = self.by_name.get_mut(name) {
-                deaths.remove(0);
-                if deaths.is_empty() {
+            if let Some(tombstones) = self.by_name.get_mut(name) {
+                tombstones.remove(0);
+                if tombstones.is_empty() {
                     self.by_name.remove(name);
                 }
             }
--- a/crates/fleet/tests/discovery.rs
+++ b/crates/fleet/tests/discovery.rs
@@ -11,7 +11,7 @@
 use proptest::test_runner::RngSeed;
 
 /// A life of a name, as told: the name and its start.
-type Lives = BTreeMap<Arc<str>, (u64, Standing)>;
+type Lives = BTreeMap<Arc<str>, (u64, ServingState)>;
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -38,10 +38,10 @@
     ]
 }
 
-fn listed(name: &Arc<str>, at: u64, (start, standing): (u64, Standing)) -> Told {
-    let life = Life { started: Some(Duration::from_secs(start)), created: Revision(0) };
-    let entry = Entry { life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing };
-    Told { name: name.clone(), at: Revision(at), what: What::Listed(entry) }
+fn listed(name: &Arc<str>, at: u64, (start, standing): (u64, ServingState)) -> EntryUpdate {
+    let life = Incarnation { started: Some(Duration::from_secs(start)), created: Revision(0) };
+    let entry = Entry { incarnation: life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing };
+    EntryUpdate { name: name.clone(), at: Revision(at), state: EntryState::Listed(entry) }
 }
 
 /// Discovery with its versions, and a fleet that follows one faulty agent after another.
@@ -74,34 +74,36 @@
     }
 
     /// As the watch does: versions that go back are another history.
-    fn hear(&mut self, version: u64, whole: bool, entries: Vec<Told>) {
+    fn hear(&mut self, version: u64, whole: bool, entries: Vec<EntryUpdate>) {
         if version < self.known && !whole {
             return;
         }
         self.epoch += u32::from(version < self.known);
         let (epoch, revision) = (Epoch(self.epoch), Revision(version));
         for told in &entries {
-            if let What::Listed(Entry { standing: Standing::Draining, life, .. }) = &told.what {
+            if let EntryState::Listed(Entry { standing: ServingState::Draining, incarnation: life, .. }) =
+                &told.state
+            {
                 self.drained.insert((told.name.clone(), life.started.unwrap_or_default().as_secs()));
             }
         }
         let last: BTreeSet<Arc<str>> =
             entries.iter().filter(|told| runs(told)).map(|told| told.name.clone()).collect();
         let word = match whole {
-            true => Word::Whole { epoch, revision, entries },
-            false => Word::Changes { epoch, after: revision, revision, entries },
+            true => SourceMessage::Whole { epoch, revision, entries },
+            false => SourceMessage::Changes { epoch, after: revision, revision, entries },
         };
-        let heard = self.fleet.hear(Duration::from_secs(1), self.source, word);
-        assert_eq!(heard.verdict, Verdict::Taken);
+        let heard = self.fleet.apply(Duration::from_secs(1), self.source, word);
+        assert_eq!(heard.verdict, Freshness::Taken);
         self.known = version;
-        let handover = heard.handover.expect("a direct word is handed on at once");
-        if handover.whole {
+        let changes = heard.changes.expect("a direct word is handed on at once");
+        if changes.whole {
             self.believed.clear();
         }
-        for Handed { name, entry } in handover.entries {
+        for Change { name, entry } in changes.entries {
             match entry {
                 Some(entry) => {
-                    let start = entry.life.started.unwrap_or_default().as_secs();
+                    let start = entry.incarnation.started.unwrap_or_default().as_secs();
                     self.believed.insert(name, (start, entry.standing));
                 }
                 None => {
@@ -111,7 +113,7 @@
         }
         for (name, (start, standing)) in &self.believed {
             let over = self.drained.contains(&(name.clone(), *start));
-            assert!(!(over && *standing == Standing::Running), "{name} of {start} runs again");
+            assert!(!(over && *standing == ServingState::Running), "{name} of {start} runs again");
         }
         for name in last {
             let over = self.drained.iter().any(|(drained, _)| *drained == name);
@@ -121,15 +123,15 @@
 
     fn play(&mut self, event: Event) {
         let newest = self.versions.len() as u64 - 1;
-        let whole = |version: u64, lives: &Lives| -> Vec<Told> {
+        let whole = |version: u64, lives: &Lives| -> Vec<EntryUpdate> {
             lives.iter().map(|(name, life)| listed(name, version, *life)).collect()
         };
         match event {
             Event::Start(of) => self.change(of, |lives, name, start| {
-                lives.insert(name, (start, Standing::Running));
+                lives.insert(name, (start, ServingState::Running));
             }),
             Event::Drain(of) => self.change(of, |lives, name, _| {
-                lives.entry(name).and_modify(|life| life.1 = Standing::Draining);
+                lives.entry(name).and_modify(|life| life.1 = ServingState::Draining);
             }),
             Event::Leave(of) => self.change(of, |lives, name, _| {
                 lives.remove(&name);
@@ -147,16 +149,16 @@
             Event::Changes(back) => {
                 let (old, now) =
                     (&self.versions[newest.saturating_sub(u64::from(back)) as usize], self.now());
-                let mut entries: Vec<Told> = now
+                let mut entries: Vec<EntryUpdate> = now
                     .iter()
                     .filter(|(name, life)| old.get(*name) != Some(life))
                     .map(|(name, life)| listed(name, newest, *life))
                     .collect();
                 let gone = old.keys().filter(|name| !now.contains_key(*name));
-                entries.extend(gone.map(|name| Told {
+                entries.extend(gone.map(|name| EntryUpdate {
                     name: name.clone(),
                     at: Revision(newest),
-                    what: What::Gone,
+                    state: EntryState::Gone,
                 }));
                 self.hear(newest, false, entries);
             }
@@ -164,8 +166,8 @@
     }
 }
 
-fn runs(told: &Told) -> bool {
-    matches!(&told.what, What::Listed(entry) if entry.standing == Standing::Running)
+fn runs(told: &EntryUpdate) -> bool {
+    matches!(&told.state, EntryState::Listed(entry) if entry.standing == ServingState::Running)
 }
 
 proptest! {
--- a/crates/fleet/tests/histories.rs
+++ b/crates/fleet/tests/histories.rs
@@ -49,13 +49,13 @@
 /// A store with its whole history.
 #[derive(Default)]
 struct Store {
-    log: Vec<Told>,
-    states: Vec<BTreeMap<Arc<str>, Told>>,
+    log: Vec<EntryUpdate>,
+    states: Vec<BTreeMap<Arc<str>, EntryUpdate>>,
     epoch: u32,
 }
 
 impl Store {
-    fn now(&self) -> BTreeMap<Arc<str>, Told> {
+    fn now(&self) -> BTreeMap<Arc<str>, EntryUpdate> {
         self.states.last().cloned().unwrap_or_default()
     }
 
@@ -63,33 +63,33 @@
         self.log.len() as u64
     }
 
-    fn put(&mut self, name: &Arc<str>, what: What) {
-        let told = Told { name: name.clone(), at: Revision(self.revision() + 1), what };
-        let mut state = self.now();
-        match told.what {
-            What::Gone => drop(state.remove(name)),
-            _ => drop(state.insert(name.clone(), told.clone())),
+    fn put(&mut self, name: &Arc<str>, state: EntryState) {
+        let told = EntryUpdate { name: name.clone(), at: Revision(self.revision() + 1), state };
+        let mut listed = self.now();
+        match told.state {
+            EntryState::Gone => drop(listed.remove(name)),
+            _ => drop(listed.insert(name.clone(), told.clone())),
         }
         self.log.push(told);
-        self.states.push(state);
+        self.states.push(listed);
     }
 
-    fn whole(&self) -> Word {
+    fn whole(&self) -> SourceMessage {
         let entries = self.now().into_values().collect();
-        Word::Whole { epoch: Epoch(self.epoch), revision: Revision(self.revision()), entries }
+        SourceMessage::Whole { epoch: Epoch(self.epoch), revision: Revision(self.revision()), entries }
     }
 }
 
-fn entry(told: &Told) -> Option<&Entry> {
-    match &told.what {
-        What::Listed(entry) => Some(entry),
+fn entry(told: &EntryUpdate) -> Option<&Entry> {
+    match &told.state {
+        EntryState::Listed(entry) => Some(entry),
         _ => None,
     }
 }
 
 /// Starts are told, so that each life is known by its own.
 fn life(name: &Arc<str>, entry: &Entry) -> (Arc<str>, u64) {
-    (name.clone(), entry.life.started.map_or(0, |at| at.as_millis() as u64))
+    (name.clone(), entry.incarnation.started.map_or(0, |at| at.as_millis() as u64))
 }
 
 struct Play {
@@ -97,7 +97,7 @@
     source: SourceId,
     store: Store,
     known: Option<(u32, u64)>,
-    words: Vec<Word>,
+    words: Vec<SourceMessage>,
     now: Duration,
     started: u64,
     /// Lives that the fleet was told are drained or gone.
@@ -126,9 +126,9 @@
         }
     }
 
-    fn tell(&mut self, word: Word) -> Verdict {
-        let verdict = self.fleet.hear(self.now, self.source, word.clone()).verdict;
-        if verdict == Verdict::Taken {
+    fn tell(&mut self, word: SourceMessage) -> Freshness {
+        let verdict = self.fleet.apply(self.now, self.source, word.clone()).verdict;
+        if verdict == Freshness::Taken {
             self.note(&word);
         }
         self.words.push(word);
@@ -136,11 +136,11 @@
     }
 
     /// What a life's end is, told apart from how the fleet keeps it.
-    fn note(&mut self, word: &Word) {
+    fn note(&mut self, word: &SourceMessage) {
         let (epoch, revision, whole, entries) = match word {
-            Word::Whole { epoch, revision, entries } => (epoch, revision, true, entries),
-            Word::Changes { epoch, revision, entries, .. } => (epoch, revision, false, entries),
-            Word::Nothing { .. } => return,
+            SourceMessage::Whole { epoch, revision, entries } => (epoch, revision, true, entries),
+            SourceMessage::Changes { epoch, revision, entries, .. } => (epoch, revision, false, entries),
+            SourceMessage::Nothing { .. } => return,
         };
         self.known = Some((epoch.0, revision.0));
         if whole {
@@ -151,11 +151,12 @@
         for told in entries {
             match entry(told) {
                 Some(entry) => {
-                    let same = self.listed.get(&told.name).is_some_and(|old| old.life == entry.life);
+                    let same =
+                        self.listed.get(&told.name).is_some_and(|old| old.incarnation == entry.incarnation);
                     if !same {
                         self.ended(&told.name);
                     }
-                    if entry.standing == Standing::Draining {
+                    if entry.standing == ServingState::Draining {
                         self.over.insert(life(&told.name, entry));
                     }
                     self.listed.insert(told.name.clone(), entry.clone());
@@ -179,12 +180,12 @@
 
     fn hand(&mut self) {
         while self.fleet.due().is_some_and(|due| due <= self.now) {
-            let Some(handover) = self.fleet.hand(self.now) else { return };
-            if handover.whole {
+            let Some(changes) = self.fleet.take_changes(self.now) else { return };
+            if changes.whole {
                 self.module.clear();
             }
-            for Handed { name, entry } in handover.entries {
-                let runs = entry.as_ref().filter(|entry| entry.standing == Standing::Running);
+            for Change { name, entry } in changes.entries {
+                let runs = entry.as_ref().filter(|entry| entry.standing == ServingState::Running);
                 let back = runs.map(|entry| life(&name, entry)).filter(|life| self.is_over(life));
                 assert_eq!(back, None, "a life that was over came back");
                 match entry {
@@ -193,7 +194,9 @@
                 }
             }
             // Nothing that ended waits for a turn.
-            for (name, entry) in self.module.iter().filter(|(_, entry)| entry.standing == Standing::Running) {
+            for (name, entry) in
+                self.module.iter().filter(|(_, entry)| entry.standing == ServingState::Running)
+            {
                 assert!(!self.is_over(&life(name, entry)), "{name} is still handed on");
             }
         }
@@ -206,25 +209,26 @@
                 let name = name(place);
                 let old = self.store.now().get(&name).and_then(|told| entry(told).cloned());
                 if anew && old.is_some() {
-                    self.store.put(&name, What::Gone);
+                    self.store.put(&name, EntryState::Gone);
                 }
                 let created = Revision(self.store.revision() + 1);
-                let created = old.filter(|_| !anew).map_or(created, |old| old.life.created);
+                let created = old.filter(|_| !anew).map_or(created, |old| old.incarnation.created);
                 self.started += 1;
-                let life = Life { started: Some(Duration::from_millis(self.started)), created };
-                let standing = Standing::Running;
-                let entry = Entry { life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing };
-                self.store.put(&name, What::Listed(entry));
+                let life = Incarnation { started: Some(Duration::from_millis(self.started)), created };
+                let standing = ServingState::Running;
+                let entry =
+                    Entry { incarnation: life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing };
+                self.store.put(&name, EntryState::Listed(entry));
             }
             Event::Drain(place) => {
                 if let Some(told) = self.store.now().get(&name(place)) {
                     let Some(entry) = entry(told) else { return };
-                    let entry = Entry { standing: Standing::Draining, ..entry.clone() };
-                    self.store.put(&name(place), What::Listed(entry));
+                    let entry = Entry { standing: ServingState::Draining, ..entry.clone() };
+                    self.store.put(&name(place), EntryState::Listed(entry));
                 }
             }
             Event::Delete(place) if self.store.now().contains_key(&name(place)) => {
-                self.store.put(&name(place), What::Gone);
+                self.store.put(&name(place), EntryState::Gone);
             }
             Event::Delete(_) => {}
             Event::Tell { part } => {
@@ -233,17 +237,17 @@
                 let until = now - (now - after).min(u64::from(part));
                 let entries = self.store.log[after as usize..until as usize].to_vec();
                 let (after, revision) = (Revision(after), Revision(until));
-                let word = Word::Changes { epoch: Epoch(epoch), after, revision, entries };
-                if self.tell(word) == Verdict::Gap {
+                let word = SourceMessage::Changes { epoch: Epoch(epoch), after, revision, entries };
+                if self.tell(word) == Freshness::Gap {
                     self.tell(self.store.whole());
                 }
             }
             Event::Repeat(place) if !self.words.is_empty() => {
                 let word = self.words[place as usize % self.words.len()].clone();
-                let whole_again = matches!(&word, Word::Whole { epoch, revision, .. }
+                let whole_again = matches!(&word, SourceMessage::Whole { epoch, revision, .. }
                     if self.known == Some((epoch.0, revision.0)));
                 let verdict = self.tell(word);
-                assert!(whole_again || verdict != Verdict::Taken, "an old word was taken");
+                assert!(whole_again || verdict != Freshness::Taken, "an old word was taken");
             }
             Event::Repeat(_) => {}
             Event::Whole => drop(self.tell(self.store.whole())),
@@ -268,13 +272,15 @@
             .now()
             .values()
             .filter_map(|told| Some((told.name.clone(), entry(told)?.clone())))
-            .filter(|(name, entry)| entry.standing == Standing::Running && !self.is_over(&life(name, entry)))
+            .filter(|(name, entry)| {
+                entry.standing == ServingState::Running && !self.is_over(&life(name, entry))
+            })
             .map(|(name, entry)| life(&name, &entry))
             .collect();
         let handed: BTreeSet<_> = self
             .module
             .iter()
-            .filter(|(_, entry)| entry.standing == Standing::Running)
+            .filter(|(_, entry)| entry.standing == ServingState::Running)
             .map(|(name, entry)| life(name, entry))
             .collect();
         assert_eq!(handed, running);
@@ -301,27 +307,27 @@
         let mut fleet = Fleet::new(Bounds { dead: most, dead_for: Duration::from_secs(60) });
         let source = fleet.add(SourceTerms::new("store"));
         let told = |name: u32, at: u64| {
-            let life = Life { started: None, created: Revision(at) };
-            let (zone, standing) = (ZoneId(0), Standing::Running);
-            let entry = Entry { life, dial: None, zone, kind: 0, weight: 1.0, standing };
-            Told { name: format!("e{name}").into(), at: Revision(at), what: What::Listed(entry) }
+            let life = Incarnation { started: None, created: Revision(at) };
+            let (zone, standing) = (ZoneId(0), ServingState::Running);
+            let entry = Entry { incarnation: life, dial: None, zone, kind: 0, weight: 1.0, standing };
+            EntryUpdate { name: format!("e{name}").into(), at: Revision(at), state: EntryState::Listed(entry) }
         };
         let mut now = Duration::from_secs(1);
         for name in 0..names {
             let at = u64::from(name) + 1;
-            let word = Word::Whole { epoch: Epoch(1), revision: Revision(at), entries: vec![told(name, at)] };
-            fleet.hear(now, source, word);
-            fleet.hand(now);
+            let word = SourceMessage::Whole { epoch: Epoch(1), revision: Revision(at), entries: vec![told(name, at)] };
+            fleet.apply(now, source, word);
+            fleet.take_changes(now);
             now += Duration::from_millis(100);
             prop_assert!(fleet.dead() <= most);
         }
         now += Duration::from_secs(3600);
-        fleet.hear(now, source, Word::Whole { epoch: Epoch(1), revision: Revision(1 << 40), entries: vec![] });
+        fleet.apply(now, source, SourceMessage::Whole { epoch: Epoch(1), revision: Revision(1 << 40), entries: vec![] });
         while fleet.due().is_some_and(|due| due <= now) {
-            fleet.hand(now);
+            fleet.take_changes(now);
         }
         prop_assert!(fleet.dead() <= 1, "{}", fleet.dead());
-        fleet.hand(now + Duration::from_secs(3600));
+        fleet.take_changes(now + Duration::from_secs(3600));
         prop_assert_eq!(fleet.names(), 0);
     }
 }
--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -44,24 +44,31 @@
 const BYTES_AT_MOST: f64 = 600.0;
 
 fn entry(place: usize) -> Entry {
-    let life = Life { started: Some(Duration::from_secs(1 + place as u64)), created: Revision(0) };
+    let life = Incarnation { started: Some(Duration::from_secs(1 + place as u64)), created: Revision(0) };
     let dial = Some(([10, 1, (place >> 8) as u8, place as u8], 9000).into());
-    Entry { life, dial, zone: ZoneId(place as u32 % 3), kind: 0, weight: 1.0, standing: Standing::Running }
+    Entry {
+        incarnation: life,
+        dial,
+        zone: ZoneId(place as u32 % 3),
+        kind: 0,
+        weight: 1.0,
+        standing: ServingState::Running,
+    }
 }
 
-fn told(place: usize, seq: u64) -> Told {
+fn told(place: usize, seq: u64) -> EntryUpdate {
     let name = format!("s-{:08x}", (place as u32).wrapping_mul(0x9e37_79b1)).into();
-    Told { name, at: Revision(seq), what: What::Listed(entry(place)) }
+    EntryUpdate { name, at: Revision(seq), state: EntryState::Listed(entry(place)) }
 }
 
-fn whole(count: usize, seq: u64) -> Word {
+fn whole(count: usize, seq: u64) -> SourceMessage {
     let entries = (0..count).map(|place| told(place, seq)).collect();
-    Word::Whole { epoch: Epoch(1), revision: Revision(seq), entries }
+    SourceMessage::Whole { epoch: Epoch(1), revision: Revision(seq), entries }
 }
 
-fn change(place: usize, seq: u64) -> Word {
+fn change(place: usize, seq: u64) -> SourceMessage {
     let (after, revision) = (Revision(seq), Revision(seq));
-    Word::Changes { epoch: Epoch(1), after, revision, entries: vec![told(place, seq)] }
+    SourceMessage::Changes { epoch: Epoch(1), after, revision, entries: vec![told(place, seq)] }
 }
 
 /// Bytes an entry that stay, and bytes an entry at most, of hearing one list of so many.
@@ -70,7 +77,7 @@
     let source = fleet.add(terms);
     let before = HELD.get();
     PEAK.set(before);
-    let handed = fleet.hear(NOW, source, whole(count, 1)).handover.or_else(|| fleet.hand(NOW));
+    let handed = fleet.apply(NOW, source, whole(count, 1)).changes.or_else(|| fleet.take_changes(NOW));
     assert_eq!(handed.expect("a whole list is handed on").entries.len(), count);
     let an_entry = |bytes: isize| (bytes - before) as f64 / count as f64;
     (an_entry(HELD.get()), an_entry(PEAK.get()))
@@ -95,8 +102,8 @@
     let source = fleet.add(SourceTerms::direct("discovery"));
     for seq in 1..=5 {
         let entries = (0..10).map(|place| told(place + 10 * seq as usize, seq)).collect();
-        let word = Word::Whole { epoch: Epoch(1), revision: Revision(seq), entries };
-        assert_eq!(fleet.hear(NOW, source, word).handover.expect("direct").entries.len(), 10);
+        let word = SourceMessage::Whole { epoch: Epoch(1), revision: Revision(seq), entries };
+        assert_eq!(fleet.apply(NOW, source, word).changes.expect("direct").entries.len(), 10);
         assert_eq!((fleet.names(), fleet.states()[0].listed), (10, 10));
     }
 }
@@ -113,14 +120,14 @@
         for seq in 1..=3 {
             let word = whole(count, seq);
             let begin = Instant::now();
-            fleet.hear(NOW, source, word);
+            fleet.apply(NOW, source, word);
             times.push(begin.elapsed());
         }
-        let words: Vec<Word> =
+        let words: Vec<SourceMessage> =
             (0..CHANGES).map(|place| change(place * 7 % count, 4 + place as u64)).collect();
         let begin = Instant::now();
         for word in words {
-            fleet.hear(NOW, source, word);
+            fleet.apply(NOW, source, word);
         }
         let each = begin.elapsed() / CHANGES as u32;
         println!("{count} entries: whole lists {times:?}, one change {each:?}");
--- a/crates/fleet/tests/stories.rs
+++ b/crates/fleet/tests/stories.rs
@@ -7,26 +7,31 @@
 
 const NOW: Duration = Duration::from_secs(100);
 
-fn entry(started_ms: u64, created: u64, standing: Standing) -> Entry {
+fn entry(started_ms: u64, created: u64, standing: ServingState) -> Entry {
     let started = (started_ms > 0).then(|| Duration::from_millis(started_ms));
-    let life = Life { started, created: Revision(created) };
-    Entry { life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing }
+    let life = Incarnation { started, created: Revision(created) };
+    Entry { incarnation: life, dial: None, zone: ZoneId(0), kind: 0, weight: 1.0, standing }
 }
 
-fn told(name: &str, at: u64, what: What) -> Told {
-    Told { name: name.into(), at: Revision(at), what }
+fn told(name: &str, at: u64, state: EntryState) -> EntryUpdate {
+    EntryUpdate { name: name.into(), at: Revision(at), state }
 }
 
-fn runs(name: &str, started_ms: u64, created: u64) -> Told {
-    told(name, created, What::Listed(entry(started_ms, created, Standing::Running)))
+fn runs(name: &str, started_ms: u64, created: u64) -> EntryUpdate {
+    told(name, created, EntryState::Listed(entry(started_ms, created, ServingState::Running)))
 }
 
-fn whole(epoch: u32, revision: u64, entries: Vec<Told>) -> Word {
-    Word::Whole { epoch: Epoch(epoch), revision: Revision(revision), entries }
+fn whole(epoch: u32, revision: u64, entries: Vec<EntryUpdate>) -> SourceMessage {
+    SourceMessage::Whole { epoch: Epoch(epoch), revision: Revision(revision), entries }
 }
 
-fn changes(epoch: u32, after: u64, revision: u64, entries: Vec<Told>) -> Word {
-    Word::Changes { epoch: Epoch(epoch), after: Revision(after), revision: Revision(revision), entries }
+fn changes(epoch: u32, after: u64, revision: u64, entries: Vec<EntryUpdate>) -> SourceMessage {
+    SourceMessage::Changes {
+        epoch: Epoch(epoch),
+        after: Revision(after),
+        revision: Revision(revision),
+        entries,
+    }
 }
 
 struct Stage {
@@ -41,18 +46,18 @@
         Stage { fleet, sources }
     }
 
-    fn hear(&mut self, now: Duration, word: Word) -> Verdict {
-        self.fleet.hear(now, self.sources[0], word).verdict
+    fn hear(&mut self, now: Duration, word: SourceMessage) -> Freshness {
+        self.fleet.apply(now, self.sources[0], word).verdict
     }
 
     /// What is handed on at this time, by name and standing.
-    fn hand(&mut self, now: Duration) -> Vec<(String, Option<Standing>)> {
-        let entries = self.fleet.hand(now).map(|handover| handover.entries).unwrap_or_default();
+    fn hand(&mut self, now: Duration) -> Vec<(String, Option<ServingState>)> {
+        let entries = self.fleet.take_changes(now).map(|changes| changes.entries).unwrap_or_default();
         entries.into_iter().map(|of| (of.name.to_string(), of.entry.map(|entry| entry.standing))).collect()
     }
 
     fn running(&self) -> Vec<String> {
-        let running = self.fleet.believed().filter(|(_, entry)| entry.standing == Standing::Running);
+        let running = self.fleet.believed().filter(|(_, entry)| entry.standing == ServingState::Running);
         running.map(|(name, _)| name.to_string()).collect()
     }
 }
@@ -71,24 +76,24 @@
 #[test]
 fn a_first_list_that_is_empty_is_told_as_one() {
     let mut stage = Stage::new(1);
-    assert_eq!(stage.fleet.hand(NOW), None);
+    assert_eq!(stage.fleet.take_changes(NOW), None);
     stage.hear(NOW, whole(1, 1, vec![]));
-    assert_eq!(stage.fleet.hand(NOW), Some(Handover { whole: true, entries: vec![] }));
+    assert_eq!(stage.fleet.take_changes(NOW), Some(Changes { whole: true, entries: vec![] }));
 }
 
 #[test]
 fn words_that_are_stale_repeated_or_do_not_follow_change_nothing() {
     let mut stage = Stage::new(1);
-    assert_eq!(stage.hear(NOW, changes(1, 4, 5, vec![])), Verdict::Gap);
+    assert_eq!(stage.hear(NOW, changes(1, 4, 5, vec![])), Freshness::Gap);
     stage.hear(NOW, whole(2, 10, vec![runs("a", 0, 2)]));
     stage.hand(NOW);
     for stale in
         [whole(2, 9, vec![]), whole(1, 99, vec![]), changes(2, 8, 10, vec![]), changes(2, 3, 9, vec![])]
     {
-        assert_eq!(stage.hear(NOW, stale), Verdict::Stale);
+        assert_eq!(stage.hear(NOW, stale), Freshness::Stale);
     }
     for gap in [changes(2, 11, 12, vec![]), changes(3, 10, 11, vec![])] {
-        assert_eq!(stage.hear(NOW, gap), Verdict::Gap);
+        assert_eq!(stage.hear(NOW, gap), Freshness::Gap);
     }
     assert_eq!(stage.running(), ["a"]);
 }
@@ -101,9 +106,12 @@
     let later = NOW + Duration::from_secs(3600);
     assert_eq!(stage.hand(later), []);
     assert_eq!(stage.fleet.states()[0].heard, Some(NOW));
-    stage.hear(later, Word::Nothing { epoch: Epoch(1), revision: Revision(12) });
+    stage.hear(later, SourceMessage::Nothing { epoch: Epoch(1), revision: Revision(12) });
     assert_eq!(stage.fleet.states()[0].heard, Some(later));
-    assert_eq!(stage.hear(later, changes(1, 12, 13, vec![told("a", 13, What::Gone)])), Verdict::Taken);
+    assert_eq!(
+        stage.hear(later, changes(1, 12, 13, vec![told("a", 13, EntryState::Gone)])),
+        Freshness::Taken
+    );
     assert_eq!(stage.hand(later), [("a".into(), None)]);
 }
 
@@ -112,26 +120,32 @@
     let mut stage = Stage::new(1);
     stage.hear(NOW, whole(1, 10, vec![runs("a", 500, 2)]));
     stage.hand(NOW);
-    let drained = told("a", 11, What::Listed(entry(500, 2, Standing::Draining)));
+    let drained = told("a", 11, EntryState::Listed(entry(500, 2, ServingState::Draining)));
     stage.hear(NOW, changes(1, 10, 11, vec![drained]));
-    assert_eq!(stage.hand(NOW), [("a".into(), Some(Standing::Draining))]);
+    assert_eq!(stage.hand(NOW), [("a".into(), Some(ServingState::Draining))]);
     // Written over, or deleted and registered again, it is the same process.
-    stage.hear(NOW, changes(1, 11, 12, vec![told("a", 12, What::Listed(entry(500, 2, Standing::Running)))]));
-    stage.hear(NOW, changes(1, 12, 14, vec![told("a", 13, What::Gone), runs("a", 500, 14)]));
+    stage.hear(
+        NOW,
+        changes(1, 11, 12, vec![told("a", 12, EntryState::Listed(entry(500, 2, ServingState::Running)))]),
+    );
+    stage.hear(NOW, changes(1, 12, 14, vec![told("a", 13, EntryState::Gone), runs("a", 500, 14)]));
     assert_eq!(stage.running(), [""; 0]);
-    stage.hear(NOW, changes(1, 14, 15, vec![told("a", 15, What::Listed(entry(900, 14, Standing::Running)))]));
+    stage.hear(
+        NOW,
+        changes(1, 14, 15, vec![told("a", 15, EntryState::Listed(entry(900, 14, ServingState::Running)))]),
+    );
     assert_eq!(stage.running(), ["a"]);
 }
 
 #[test]
 fn a_start_where_none_was_told_is_a_later_one_and_none_where_one_was_told_is_no_later_one() {
     let mut stage = Stage::new(1);
-    let says = |at, started, standing| told("a", at, What::Listed(entry(started, 2, standing)));
-    stage.hear(NOW, whole(1, 10, vec![says(2, 0, Standing::Draining)]));
-    stage.hear(NOW, changes(1, 10, 11, vec![says(11, 500, Standing::Running)]));
+    let says = |at, started, standing| told("a", at, EntryState::Listed(entry(started, 2, standing)));
+    stage.hear(NOW, whole(1, 10, vec![says(2, 0, ServingState::Draining)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![says(11, 500, ServingState::Running)]));
     assert_eq!(stage.running(), ["a"]);
-    stage.hear(NOW, changes(1, 11, 12, vec![says(12, 500, Standing::Draining)]));
-    stage.hear(NOW, changes(1, 12, 13, vec![says(13, 0, Standing::Running)]));
+    stage.hear(NOW, changes(1, 11, 12, vec![says(12, 500, ServingState::Draining)]));
+    stage.hear(NOW, changes(1, 12, 13, vec![says(13, 0, ServingState::Running)]));
     assert_eq!(stage.running(), [""; 0]);
 }
 
@@ -139,7 +153,7 @@
 fn one_that_was_only_lost_comes_back_once_it_is_registered_anew() {
     let mut stage = Stage::new(1);
     stage.hear(NOW, whole(1, 10, vec![runs("a", 500, 2)]));
-    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Gone)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, EntryState::Gone)]));
     stage.hear(NOW, changes(1, 11, 12, vec![runs("a", 500, 12)]));
     assert_eq!(stage.running(), ["a"]);
 }
@@ -148,12 +162,15 @@
 fn a_restored_backup_brings_none_of_the_dead_back() {
     let mut stage = Stage::new(1);
     stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2), runs("b", 700, 3), runs("c", 700, 4)]));
-    stage.hear(NOW, changes(1, 10, 12, vec![told("a", 11, What::Gone), told("b", 12, What::Gone)]));
+    stage.hear(
+        NOW,
+        changes(1, 10, 12, vec![told("a", 11, EntryState::Gone), told("b", 12, EntryState::Gone)]),
+    );
     stage.hear(NOW, changes(1, 12, 13, vec![runs("b", 800, 13)]));
     stage.hand(NOW);
     stage.hear(NOW, whole(2, 10, vec![runs("a", 0, 2), runs("b", 700, 3), runs("c", 700, 4)]));
     assert_eq!(stage.running(), ["c"]);
-    assert_eq!(stage.fleet.counts.barred, 2);
+    assert_eq!(stage.fleet.counts.blocked, 2);
     // Registered anew after the restore, they come back.
     stage.hear(NOW, changes(2, 10, 12, vec![runs("a", 0, 11), runs("b", 900, 12)]));
     assert_eq!(stage.running(), ["a", "b", "c"]);
@@ -173,7 +190,7 @@
 fn what_is_still_listed_is_not_forgotten_with_the_dead() {
     let mut stage = Stage::new(1);
     stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
-    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Gone)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, EntryState::Gone)]));
     stage.hear(NOW, whole(2, 10, vec![runs("a", 0, 2)]));
     let long_after = NOW + Bounds::default().dead_for * 2;
     stage.hear(long_after, whole(2, 11, vec![runs("a", 0, 2)]));
@@ -188,8 +205,8 @@
     stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
     stage.hand(NOW);
     let later = NOW + Duration::from_secs(1);
-    stage.hear(later, changes(1, 10, 12, vec![told("a", 11, What::Gone), runs("a", 0, 12)]));
-    assert_eq!(stage.hand(later), [("a".into(), None), ("a".into(), Some(Standing::Running))]);
+    stage.hear(later, changes(1, 10, 12, vec![told("a", 11, EntryState::Gone), runs("a", 0, 12)]));
+    assert_eq!(stage.hand(later), [("a".into(), None), ("a".into(), Some(ServingState::Running))]);
 }
 
 #[test]
@@ -198,18 +215,18 @@
     stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
     // Read in pages that no revision holds together: this one is from later on.
     stage.hear(NOW, whole(1, 100, vec![runs("a", 0, 120)]));
-    stage.hear(NOW, changes(1, 100, 120, vec![told("a", 105, What::Gone), runs("a", 0, 120)]));
+    stage.hear(NOW, changes(1, 100, 120, vec![told("a", 105, EntryState::Gone), runs("a", 0, 120)]));
     assert_eq!(stage.running(), ["a"]);
 }
 
 #[test]
 fn what_cannot_be_read_costs_itself_alone() {
     let mut stage = Stage::new(1);
-    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2), told("b", 3, What::Unreadable)]));
+    stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2), told("b", 3, EntryState::Unreadable)]));
     assert_eq!(stage.running(), ["a"]);
     // What was last known of it stands, in changes and in a whole list.
-    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Unreadable)]));
-    stage.hear(NOW, whole(1, 12, vec![told("a", 11, What::Unreadable)]));
+    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, EntryState::Unreadable)]));
+    stage.hear(NOW, whole(1, 12, vec![told("a", 11, EntryState::Unreadable)]));
     assert_eq!(stage.running(), ["a"]);
     assert_eq!(stage.fleet.counts.unreadable, 3);
 }
@@ -223,7 +240,7 @@
     let mut held = Vec::new();
     for _ in 0..5 {
         now += Duration::from_secs(40);
-        stage.hear(now, changes(1, at, at + 1, vec![told("a", at + 1, What::Gone)]));
+        stage.hear(now, changes(1, at, at + 1, vec![told("a", at + 1, EntryState::Gone)]));
         assert_eq!(stage.hand(now), [("a".into(), None)]);
         stage.hear(now, changes(1, at + 1, at + 2, vec![runs("a", 0, at + 2)]));
         at += 2;
@@ -241,17 +258,17 @@
     let mut stage = Stage::new(1);
     let pace = Pace::default();
     let many = 3 * pace.burst as u64;
-    let all: Vec<Told> = (0..many).map(|place| runs(&format!("e{place}"), 0, place + 1)).collect();
-    // The first list is one handover, whatever its size.
+    let all: Vec<EntryUpdate> = (0..many).map(|place| runs(&format!("e{place}"), 0, place + 1)).collect();
+    // The first list is handed on at once, whatever its size.
     stage.hear(NOW, whole(1, many, all));
     assert_eq!(stage.hand(NOW).len(), many as usize);
     let heavier = |place: u64| {
         let at = many + 1 + place;
-        let entry = Entry { weight: 2.0, ..entry(0, place + 1, Standing::Running) };
-        told(&format!("e{place}"), at, What::Listed(entry))
+        let entry = Entry { weight: 2.0, ..entry(0, place + 1, ServingState::Running) };
+        told(&format!("e{place}"), at, EntryState::Listed(entry))
     };
-    let mut entries: Vec<Told> = (0..many - 1).map(heavier).collect();
-    entries.push(told(&format!("e{}", many - 1), 2 * many, What::Gone));
+    let mut entries: Vec<EntryUpdate> = (0..many - 1).map(heavier).collect();
+    entries.push(told(&format!("e{}", many - 1), 2 * many, EntryState::Gone));
     let later = NOW + Duration::from_secs(10);
     stage.hear(later, changes(1, many, 2 * many, entries));
     let first = stage.hand(later);
@@ -269,24 +286,24 @@
 fn of_two_sources_the_first_tells_the_figures_and_either_drains() {
     let mut stage = Stage::new(2);
     let [first, second] = [stage.sources[0], stage.sources[1]];
-    let light = Told {
-        what: What::Listed(Entry { weight: 0.5, ..entry(500, 1, Standing::Running) }),
+    let light = EntryUpdate {
+        state: EntryState::Listed(Entry { weight: 0.5, ..entry(500, 1, ServingState::Running) }),
         ..runs("a", 0, 1)
     };
-    stage.fleet.hear(NOW, first, whole(1, 5, vec![runs("a", 500, 2)]));
-    stage.fleet.hear(NOW, second, whole(1, 5, vec![light.clone()]));
+    stage.fleet.apply(NOW, first, whole(1, 5, vec![runs("a", 500, 2)]));
+    stage.fleet.apply(NOW, second, whole(1, 5, vec![light.clone()]));
     assert_eq!(stage.fleet.believed().next().unwrap().1.weight, 1.0);
     // One that only one of them drops lives on, with the other's figures.
-    stage.fleet.hear(NOW, first, whole(1, 6, vec![]));
+    stage.fleet.apply(NOW, first, whole(1, 6, vec![]));
     assert_eq!(stage.fleet.believed().next().unwrap().1.weight, 0.5);
-    stage.fleet.hear(NOW, first, whole(1, 7, vec![runs("a", 500, 7)]));
-    let drained = told("a", 8, What::Listed(entry(500, 7, Standing::Draining)));
-    stage.fleet.hear(NOW, first, changes(1, 7, 8, vec![drained]));
+    stage.fleet.apply(NOW, first, whole(1, 7, vec![runs("a", 500, 7)]));
+    let drained = told("a", 8, EntryState::Listed(entry(500, 7, ServingState::Draining)));
+    stage.fleet.apply(NOW, first, changes(1, 7, 8, vec![drained]));
     assert_eq!(stage.running(), [""; 0]);
     // It went as it was told to: that the other lists it still means nothing.
-    stage.fleet.hear(NOW, first, changes(1, 8, 9, vec![told("a", 9, What::Gone)]));
+    stage.fleet.apply(NOW, first, changes(1, 8, 9, vec![told("a", 9, EntryState::Gone)]));
     assert_eq!(stage.running(), [""; 0]);
-    stage.fleet.hear(NOW, second, whole(1, 6, vec![light]));
+    stage.fleet.apply(NOW, second, whole(1, 6, vec![light]));
     assert_eq!(stage.running(), [""; 0]);
 }
 
@@ -295,68 +312,74 @@
     let mut stage = Stage::new(1);
     stage.hear(NOW, whole(1, 10, vec![runs("a", 0, 2)]));
     stage.hand(NOW);
-    stage.hear(NOW, changes(1, 10, 11, vec![told("a", 11, What::Listed(entry(0, 2, Standing::Aside)))]));
-    assert_eq!(stage.hand(NOW), [("a".into(), Some(Standing::Aside))]);
+    stage.hear(
+        NOW,
+        changes(1, 10, 11, vec![told("a", 11, EntryState::Listed(entry(0, 2, ServingState::Aside)))]),
+    );
+    assert_eq!(stage.hand(NOW), [("a".into(), Some(ServingState::Aside))]);
     let later = NOW + Duration::from_secs(5);
-    stage.hear(later, changes(1, 11, 12, vec![told("a", 12, What::Listed(entry(0, 2, Standing::Running)))]));
-    assert_eq!(stage.hand(later), [("a".into(), Some(Standing::Running))]);
+    stage.hear(
+        later,
+        changes(1, 11, 12, vec![told("a", 12, EntryState::Listed(entry(0, 2, ServingState::Running)))]),
+    );
+    assert_eq!(stage.hand(later), [("a".into(), Some(ServingState::Running))]);
 }
 
 #[test]
 fn the_platforms_words_go_through_as_they_come() {
     let mut fleet = Fleet::new(Bounds::default());
     let source = fleet.add(SourceTerms::direct("discovery"));
-    let heard = fleet.hear(NOW, source, whole(0, 5, vec![runs("b", 0, 0), runs("a", 0, 0)]));
-    let names = |heard: Heard| -> Vec<String> {
-        heard.handover.unwrap().entries.iter().map(|of| of.name.to_string()).collect()
+    let heard = fleet.apply(NOW, source, whole(0, 5, vec![runs("b", 0, 0), runs("a", 0, 0)]));
+    let names = |heard: Applied| -> Vec<String> {
+        heard.changes.unwrap().entries.iter().map(|of| of.name.to_string()).collect()
     };
     assert_eq!(names(heard), ["b", "a"]);
     for epoch in 0..2 {
         // It drops and relists what lives on, and begins anew with lower versions.
-        fleet.hear(NOW, source, whole(epoch, 5, vec![runs("a", 0, 0)]));
-        let heard = fleet.hear(NOW, source, changes(epoch, 6, 6, vec![told("a", 6, What::Gone)]));
-        assert_eq!(heard.handover.unwrap().entries[0].entry, None);
-        let heard = fleet.hear(NOW, source, changes(epoch, 7, 7, vec![runs("a", 0, 0)]));
-        assert!(heard.handover.unwrap().entries[0].entry.is_some());
-        assert_eq!(fleet.hear(NOW, source, changes(epoch, 3, 3, vec![])).verdict, Verdict::Stale);
+        fleet.apply(NOW, source, whole(epoch, 5, vec![runs("a", 0, 0)]));
+        let heard = fleet.apply(NOW, source, changes(epoch, 6, 6, vec![told("a", 6, EntryState::Gone)]));
+        assert_eq!(heard.changes.unwrap().entries[0].entry, None);
+        let heard = fleet.apply(NOW, source, changes(epoch, 7, 7, vec![runs("a", 0, 0)]));
+        assert!(heard.changes.unwrap().entries[0].entry.is_some());
+        assert_eq!(fleet.apply(NOW, source, changes(epoch, 3, 3, vec![])).verdict, Freshness::Stale);
     }
-    assert_eq!(fleet.hand(NOW), None);
+    assert_eq!(fleet.take_changes(NOW), None);
 }
 
 #[test]
 fn an_old_list_of_the_platforms_does_not_bring_a_drained_life_back_but_a_new_life_comes() {
     let mut fleet = Fleet::new(Bounds::default());
     let source = fleet.add(SourceTerms::direct("discovery"));
-    let handed = |heard: Heard| heard.handover.unwrap().entries[0].entry.clone().map(|entry| entry.standing);
-    fleet.hear(NOW, source, whole(0, 5, vec![runs("a", 0, 0)]));
-    fleet.hear(
+    let handed = |heard: Applied| heard.changes.unwrap().entries[0].entry.clone().map(|entry| entry.standing);
+    fleet.apply(NOW, source, whole(0, 5, vec![runs("a", 0, 0)]));
+    fleet.apply(
         NOW,
         source,
-        changes(0, 6, 6, vec![told("a", 6, What::Listed(entry(0, 0, Standing::Draining)))]),
+        changes(0, 6, 6, vec![told("a", 6, EntryState::Listed(entry(0, 0, ServingState::Draining)))]),
     );
     // The agent went over to one that is behind.
-    let old = fleet.hear(NOW, source, whole(1, 5, vec![runs("a", 0, 0)]));
-    assert_eq!(handed(old), Some(Standing::Draining));
-    fleet.hear(NOW, source, changes(1, 7, 7, vec![told("a", 7, What::Gone)]));
-    let old = fleet.hear(NOW, source, whole(2, 5, vec![runs("a", 0, 0)]));
+    let old = fleet.apply(NOW, source, whole(1, 5, vec![runs("a", 0, 0)]));
+    assert_eq!(handed(old), Some(ServingState::Draining));
+    fleet.apply(NOW, source, changes(1, 7, 7, vec![told("a", 7, EntryState::Gone)]));
+    let old = fleet.apply(NOW, source, whole(2, 5, vec![runs("a", 0, 0)]));
     assert_eq!(handed(old), None);
-    let new = fleet.hear(NOW, source, changes(2, 8, 8, vec![runs("a", 7_000, 0)]));
-    assert_eq!(handed(new), Some(Standing::Running));
+    let new = fleet.apply(NOW, source, changes(2, 8, 8, vec![runs("a", 7_000, 0)]));
+    assert_eq!(handed(new), Some(ServingState::Running));
 }
 
 #[test]
 fn an_old_list_of_the_platform_s_does_not_bring_an_earlier_life_back() {
     let mut fleet = Fleet::new(Bounds::default());
     let source = fleet.add(SourceTerms::direct("discovery"));
-    let start = |fleet: &Fleet| fleet.believed().next().unwrap().1.life.started;
-    fleet.hear(NOW, source, whole(1, 5, vec![runs("a", 0, 0)]));
-    fleet.hear(NOW, source, changes(1, 5, 6, vec![runs("a", 99_000, 0)]));
+    let start = |fleet: &Fleet| fleet.believed().next().unwrap().1.incarnation.started;
+    fleet.apply(NOW, source, whole(1, 5, vec![runs("a", 0, 0)]));
+    fleet.apply(NOW, source, changes(1, 5, 6, vec![runs("a", 99_000, 0)]));
     // Another agent, whose list is older: the process that has just started is cold, whatever that list says.
-    fleet.hear(NOW, source, whole(2, 4, vec![runs("a", 0, 0), runs("b", 0, 0)]));
+    fleet.apply(NOW, source, whole(2, 4, vec![runs("a", 0, 0), runs("b", 0, 0)]));
     assert_eq!(start(&fleet), Some(Duration::from_millis(99_000)));
     assert_eq!(fleet.counts.stale, 1);
     // A start that is still to come cannot be true, and is made good by the next word.
-    fleet.hear(NOW, source, changes(2, 4, 7, vec![runs("a", 200_000, 0)]));
-    fleet.hear(NOW, source, changes(2, 7, 8, vec![runs("a", 99_500, 0)]));
+    fleet.apply(NOW, source, changes(2, 4, 7, vec![runs("a", 200_000, 0)]));
+    fleet.apply(NOW, source, changes(2, 7, 8, vec![runs("a", 99_500, 0)]));
     assert_eq!(start(&fleet), Some(Duration::from_millis(99_500)));
 }
--- a/crates/host/src/controller.rs
+++ b/crates/host/src/controller.rs
@@ -4,7 +4,7 @@
 
 use dahliaroad::Pilot;
 use dahliaroad::interface::{EndpointId, EndpointState, EndpointUpdate, Orders, ProbeOutcome, ZoneId};
-use dahliaroad_fleet::{Fleet, Handed, Handover, SourceId, Standing, Verdict, Word};
+use dahliaroad_fleet::{Change, Changes, Fleet, Freshness, ServingState, SourceId, SourceMessage};
 
 use crate::counters;
 use crate::endpoint_ids::EndpointIds;
@@ -21,25 +21,25 @@
     }
 
     /// A source's word; what the module is to hear of it later goes by [`apply_due`](Controller::apply_due).
-    pub fn apply(&mut self, now: Duration, from: SourceId, word: Word) -> (Verdict, Orders) {
-        let heard = self.fleet.hear(now, from, word);
+    pub fn apply(&mut self, now: Duration, from: SourceId, word: SourceMessage) -> (Freshness, Orders) {
+        let heard = self.fleet.apply(now, from, word);
         let counts = self.fleet.counts;
         let told = [
             (&counters::STALE, counts.stale),
             (&counters::GAPS, counts.gaps),
-            (&counters::BARRED, counts.barred),
+            (&counters::BARRED, counts.blocked),
             (&counters::UNREADABLE, counts.unreadable),
             (&counters::FORGOTTEN, counts.forgotten),
         ];
         told.into_iter().for_each(|(counter, count)| counter.set(count));
-        (heard.verdict, heard.handover.map_or_else(Orders::default, |handover| self.list(now, handover)))
+        (heard.verdict, heard.changes.map_or_else(Orders::default, |changes| self.list(now, changes)))
     }
 
     /// Tells the module what is due of what sources said.
     pub fn apply_due(&mut self, now: Duration) -> Orders {
-        let handover = self.fleet.hand(now);
+        let changes = self.fleet.take_changes(now);
         counters::HELD.set(self.fleet.counts.held);
-        handover.map_or_else(Orders::default, |handover| self.list(now, handover))
+        changes.map_or_else(Orders::default, |changes| self.list(now, changes))
     }
 
     /// How a probe of this life ended: of the one that has the number now it says nothing, if that is another.
@@ -87,11 +87,11 @@
         }
     }
 
-    fn list(&mut self, now: Duration, handover: Handover) -> Orders {
+    fn list(&mut self, now: Duration, changes: Changes) -> Orders {
         counters::LISTS.add(1);
         let entries: Vec<EndpointUpdate> =
-            handover.entries.iter().filter_map(|handed| self.listed(handed)).collect();
-        let orders = self.pilot.update_endpoints(now, handover.whole, &entries);
+            changes.entries.iter().filter_map(|handed| self.listed(handed)).collect();
+        let orders = self.pilot.update_endpoints(now, changes.whole, &entries);
         while let Some(gone) = self.pilot.release_endpoint_id() {
             self.endpoint_ids.release(gone);
         }
@@ -99,17 +99,17 @@
     }
 
     /// One that is gone and was never numbered is none of the module's.
-    fn listed(&mut self, handed: &Handed) -> Option<EndpointUpdate> {
+    fn listed(&mut self, handed: &Change) -> Option<EndpointUpdate> {
         Some(match &handed.entry {
             Some(entry) => EndpointUpdate {
-                endpoint: self.endpoint_ids.assign(&handed.name, entry.dial, entry.life.started),
+                endpoint: self.endpoint_ids.assign(&handed.name, entry.dial, entry.incarnation.started),
                 zone: entry.zone,
                 kind: entry.kind,
                 weight: entry.weight,
-                started: entry.life.started,
+                started: entry.incarnation.started,
                 state: match entry.standing {
-                    Standing::Running => EndpointState::Running,
-                    Standing::Aside | Standing::Draining => EndpointState::Draining,
+                    ServingState::Running => EndpointState::Running,
+                    ServingState::Aside | ServingState::Draining => EndpointState::Draining,
                 },
             },
             None => EndpointUpdate {
--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -133,7 +133,7 @@
 }
 
 /// What a frame that can be understood is for.
-enum Word {
+enum SourceMessage {
     Question,
     Zone,
     Sums(Input),
@@ -141,16 +141,16 @@
 
 /// `None` for JSON that tells nothing of this deployment; after what is no JSON at all, nothing that follows can
 /// be trusted to be whole.
-fn admit(bytes: &[u8], terms: &Terms) -> io::Result<Option<Word>> {
+fn admit(bytes: &[u8], terms: &Terms) -> io::Result<Option<SourceMessage>> {
     let Ok(frame) = serde_json::from_slice::<Frame>(bytes) else {
         let json = serde_json::from_slice::<IgnoredAny>(bytes);
         return json.map(|_| None).map_err(|_| unfit("not JSON", bytes));
     };
     Ok(match &*frame.kind {
-        "probe" => Some(Word::Question),
-        "agent" => place(&terms.zones, &frame.locality).map(|_| Word::Zone),
-        "outcomes" => frame.admit_outcomes(terms).map(Word::Sums),
-        "demand" => frame.admit_demand(terms).map(Word::Sums),
+        "probe" => Some(SourceMessage::Question),
+        "agent" => place(&terms.zones, &frame.locality).map(|_| SourceMessage::Zone),
+        "outcomes" => frame.admit_outcomes(terms).map(SourceMessage::Sums),
+        "demand" => frame.admit_demand(terms).map(SourceMessage::Sums),
         _ => None,
     })
 }
@@ -198,12 +198,12 @@
         let Some(bytes) = taken else { return Ok(()) };
         counters::FRAMES.add(1);
         match admit(bytes, terms)? {
-            Some(Word::Question) => {
+            Some(SourceMessage::Question) => {
                 timeout(WRITE_WITHIN, stream.write_all(ALIVE)).await??;
                 counters::ALIVE.add(1);
             }
-            Some(Word::Zone) => visit.make_known(),
-            Some(Word::Sums(call)) if visit.is_known() => {
+            Some(SourceMessage::Zone) => visit.make_known(),
+            Some(SourceMessage::Sums(call)) if visit.is_known() => {
                 visit.make_known();
                 spoilt = 0;
                 counters::SUMS.add(1);
--- a/crates/pilot/src/commands.rs
+++ b/crates/pilot/src/commands.rs
@@ -11,7 +11,7 @@
 use clap::builder::{OsStringValueParser, TypedValueParser};
 use clap::{Parser, Subcommand};
 use dahliaroad_dns::{Data, Fault, Listing, Schema, Zone};
-use dahliaroad_fleet::{Entry, Fleet, Handover, Places, Standing};
+use dahliaroad_fleet::{Changes, Entry, Fleet, Places, ServingState};
 use dahliaroad_options::Options;
 use serde_json::{Value, json};
 use tokio::task::LocalSet;
@@ -144,7 +144,7 @@
         (None, Some(new)) => Some(format!("{name}: comes, {}, weight {}", new.standing.word(), new.weight)),
         (Some(_), None) => Some(format!("{name}: goes")),
         (Some(old), Some(new)) if old.started < new.started => Some(format!("{name}: begins a new life")),
-        (Some(old), Some(new)) if old.standing == Standing::Draining && new.standing != old.standing => {
+        (Some(old), Some(new)) if old.standing == ServingState::Draining && new.standing != old.standing => {
             Some(format!("{name}: stays draining, as its start did not change"))
         }
         (Some(old), Some(new)) if old.standing != new.standing => {
@@ -209,12 +209,12 @@
         "zone": places.zones.get(entry.zone.0 as usize),
         "kind": kinds.get(entry.kind as usize),
         "weight": entry.weight,
-        "started_ms": entry.life.started.map(|at| at.as_millis() as u64),
-        "created": entry.life.created.0,
+        "started_ms": entry.incarnation.started.map(|at| at.as_millis() as u64),
+        "created": entry.incarnation.created.0,
     })
 }
 
-fn print(handover: &Handover, places: &Places, json: bool) {
+fn print(handover: &Changes, places: &Places, json: bool) {
     for handed in &handover.entries {
         let entry = handed.entry.as_ref();
         if json {
@@ -256,7 +256,7 @@
     let count = sources.plans.len();
     for plan in sources.plans {
         let (fleet, source) = (fleet.clone(), plan.source);
-        let tell = async move |word| fleet.borrow_mut().hear(now(), source, word).verdict;
+        let tell = async move |word| fleet.borrow_mut().apply(now(), source, word).verdict;
         tokio::task::spawn_local(plan.follow(start.seed, places.clone(), tallies.clone(), tell));
     }
     let (mut told, mut still) = (false, Instant::now());
@@ -270,7 +270,7 @@
         if known == 0 && !follow {
             return Err(io::Error::other(format!("no source told anything within {within:?}")));
         }
-        if let Some(handover) = fleet.borrow_mut().hand(now()) {
+        if let Some(handover) = fleet.borrow_mut().take_changes(now()) {
             print(&handover, &places, json);
             (told, still) = (true, Instant::now());
         }
--- a/crates/pilot/src/lists.rs
+++ b/crates/pilot/src/lists.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahliaroad_fleet::{Entry, Epoch, Life, Places, Revision, Standing, Told, What, Word};
+use dahliaroad_fleet::{
+    Entry, EntryState, EntryUpdate, Epoch, Incarnation, Places, Revision, ServingState, SourceMessage,
+};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -65,52 +67,61 @@
 
     /// What it says, and whether all of it could be read. An entry that cannot be costs itself alone: what was known of its
     /// endpoint stands, and where not even its name can be read, nobody who is missing is gone.
-    pub fn admit(&self, places: &Places, epoch: Epoch) -> (Word, bool) {
+    pub fn admit(&self, places: &Places, epoch: Epoch) -> (SourceMessage, bool) {
         let revision = Revision(self.seq);
-        let entries: Vec<Option<Told>> =
+        let entries: Vec<Option<EntryUpdate>> =
             self.hosts.iter().map(|host| self.admit_host(host, places)).collect();
-        let admitted = |told: &Option<Told>| told.as_ref().is_some_and(|told| told.what != What::Unreadable);
+        let admitted = |told: &Option<EntryUpdate>| {
+            told.as_ref().is_some_and(|told| told.state != EntryState::Unreadable)
+        };
         let spoilt = entries.iter().filter(|told| !admitted(told)).count();
         counters::BAD.add(spoilt);
         let nameless = entries.iter().any(Option::is_none);
         let entries = entries.into_iter().flatten().collect();
         let word = match self.whole && !nameless {
-            true => Word::Whole { epoch, revision, entries },
-            false => Word::Changes { epoch, after: revision, revision, entries },
+            true => SourceMessage::Whole { epoch, revision, entries },
+            false => SourceMessage::Changes { epoch, after: revision, revision, entries },
         };
         (word, spoilt == 0)
     }
 
-    fn admit_host(&self, host: &RawValue, places: &Places) -> Option<Told> {
+    fn admit_host(&self, host: &RawValue, places: &Places) -> Option<EntryUpdate> {
         let entry = serde_json::from_str::<Listing>(host.get()).ok();
         let told = entry.and_then(|entry| entry.admit(places, self.seq));
         told.or_else(|| {
             tracing::warn!("discovery: not admitted: {}", shown(host.get().as_bytes()));
             let Named { host } = serde_json::from_str(host.get()).ok()?;
-            Some(Told { name: Arc::from(&*host), at: Revision(self.seq), what: What::Unreadable })
+            Some(EntryUpdate {
+                name: Arc::from(&*host),
+                at: Revision(self.seq),
+                state: EntryState::Unreadable,
+            })
         })
     }
 }
 
 impl Listing<'_> {
-    fn admit(&self, places: &Places, seq: u64) -> Option<Told> {
+    fn admit(&self, places: &Places, seq: u64) -> Option<EntryUpdate> {
         let born = self.born_ms.unwrap_or(0.0) / 1000.0;
         if ![self.share, born].iter().all(|figure| (0.0..LARGEST).contains(figure)) {
             return None;
         }
         let entry = Entry {
-            life: Life { started: (born > 0.0).then(|| Duration::from_secs_f64(born)), created: Revision(0) },
+            incarnation: Incarnation {
+                started: (born > 0.0).then(|| Duration::from_secs_f64(born)),
+                created: Revision(0),
+            },
             dial: Some(self.dial),
             zone: places.zone(&self.site)?,
             kind: places.kind(Some(&self.class)),
             weight: self.share,
-            standing: if self.health == "leaving" { Standing::Draining } else { Standing::Running },
+            standing: if self.health == "leaving" { ServingState::Draining } else { ServingState::Running },
         };
         let what = match &*self.health {
-            "active" | "leaving" => What::Listed(entry),
-            "left" => What::Gone,
+            "active" | "leaving" => EntryState::Listed(entry),
+            "left" => EntryState::Gone,
             _ => return None,
         };
-        Some(Told { name: Arc::from(&*self.host), at: Revision(seq), what })
+        Some(EntryUpdate { name: Arc::from(&*self.host), at: Revision(seq), state: what })
     }
 }
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -20,7 +20,7 @@
 use commands::{Command, Words};
 use dahliaroad::Pilot;
 use dahliaroad::interface::Orders;
-use dahliaroad_fleet::{Fleet, Places, SourceId, SourceTerms, Verdict, Word};
+use dahliaroad_fleet::{Fleet, Freshness, Places, SourceId, SourceMessage, SourceTerms};
 use dahliaroad_host::{Controller, Inbox};
 use dahliaroad_options::Options;
 use discovery::Watch;
@@ -53,7 +53,7 @@
 }
 
 /// What a source says goes to the fleet at the module's side, which answers what became of it.
-async fn tell(inbox: Inbox, source: SourceId, word: Word) -> Verdict {
+async fn tell(inbox: Inbox, source: SourceId, word: SourceMessage) -> Freshness {
     let (answer, answered) = oneshot::channel();
     inbox
         .tell(Box::new(move |controller, now| {
@@ -62,7 +62,7 @@
             orders
         }))
         .await;
-    answered.await.unwrap_or(Verdict::Taken)
+    answered.await.unwrap_or(Freshness::Taken)
 }
 
 /// What the platform may ask of the program, from its first moment on.
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -32,7 +32,7 @@
 const LARGEST: f64 = 1e9;
 
 #[derive(Deserialize)]
-struct Told {
+struct EntryUpdate {
     method: Option<String>,
     params: Option<Params>,
     result: Option<bool>,
@@ -63,7 +63,7 @@
     link.write(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"subscribe\"}\n").await?;
     let line = link.read(ANSWER_WITHIN).await?;
     match serde_json::from_slice(line) {
-        Ok(Told { result: Some(true), .. }) => {}
+        Ok(EntryUpdate { result: Some(true), .. }) => {}
         _ => return Err(unreadable(line)),
     }
     counters::SUBSCRIBED.add(1);
@@ -78,11 +78,11 @@
     inbox: Inbox,
     proxies: BTreeSet<u32>,
     /// What stands, since the last subscription and until all of it has been told.
-    standing: Option<Standing>,
+    standing: Option<ServingState>,
 }
 
 #[derive(Default)]
-struct Standing {
+struct ServingState {
     told: BTreeSet<u32>,
     /// Signs of life since the last one that was told.
     signs: u32,
@@ -121,7 +121,7 @@
     async fn sign_of_life(&mut self) {
         let Some(standing) = &mut self.standing else { return };
         standing.signs += 1;
-        let Some(Standing { told, spoilt, .. }) =
+        let Some(ServingState { told, spoilt, .. }) =
             self.standing.take_if(|standing| standing.signs >= SIGNS_BETWEEN)
         else {
             return;
@@ -162,7 +162,7 @@
         Some(())
     }
 
-    async fn admit(&mut self, told: Told) -> Heard {
+    async fn admit(&mut self, told: EntryUpdate) -> Heard {
         let heard = match (told.method.as_deref(), told.params) {
             (Some("hello"), Some(params)) => self.hello(params).await,
             (Some("bye"), Some(Params { node: Some(node), .. })) => {
@@ -199,7 +199,7 @@
             Err(_) => {
                 serde_json::from_slice::<IgnoredAny>(line).map_err(|_| unreadable(line))?;
                 let method = serde_json::from_slice::<Method>(line).ok().and_then(|Method { method }| method);
-                self.admit(Told { method, params: None, result: None }).await
+                self.admit(EntryUpdate { method, params: None, result: None }).await
             }
         };
         if !matches!(heard, Heard::Taken) {
@@ -217,7 +217,7 @@
         let mut link = subscribe(self.address.now()).await?;
         let mut spoilt_at: Option<Instant> = None;
         loop {
-            self.standing = Some(Standing::default());
+            self.standing = Some(ServingState::default());
             let (mut address, mut anew) = (self.address.clone(), None);
             let mut moved = pin!(address.moved(link.address, subscribe));
             let new = loop {
--- a/crates/pilot/src/sources.rs
+++ b/crates/pilot/src/sources.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dahliaroad_dns::Schema;
-use dahliaroad_fleet::{Bounds, Fleet, Pace, Places, SourceId, SourceTerms, Verdict, Word};
+use dahliaroad_fleet::{Bounds, Fleet, Freshness, Pace, Places, SourceId, SourceMessage, SourceTerms};
 use dahliaroad_options::{FleetOptions, Options, Protocol, Registry, RegistryLimits, ZoneFile};
 use dahliaroad_registry::consul::Consul;
 use dahliaroad_registry::etcd::Etcd;
@@ -187,7 +187,7 @@
         seed: u64,
         places: Places,
         tallies: Rc<Tallies>,
-        tell: impl AsyncFnMut(Word) -> Verdict,
+        tell: impl AsyncFnMut(SourceMessage) -> Freshness,
     ) {
         let Plan { name, source, what } = self;
         let (registry, service, secret, members) = match what {
--- a/crates/registry/src/drive.rs
+++ b/crates/registry/src/drive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dahliaroad_fleet::{Verdict, Word};
+use dahliaroad_fleet::{Freshness, SourceMessage};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -78,7 +78,7 @@
     mut follower: Follower,
     mut places: watch::Receiver<Vec<Place>>,
     connect_within: Duration,
-    mut tell: impl AsyncFnMut(Word) -> Verdict,
+    mut tell: impl AsyncFnMut(SourceMessage) -> Freshness,
     mut count: impl FnMut(&Tally),
 ) {
     let start = Instant::now();
@@ -117,7 +117,7 @@
             tracing::warn!("registry {name}: {}: {ask:?}: {failure:?}", members[*member]);
         }
         if let Some(word) = follower.answered(start.elapsed(), answer)
-            && tell(word).await == Verdict::Gap
+            && tell(word).await == Freshness::Gap
         {
             follower.refused();
         }
--- a/crates/registry/src/etcd.rs
+++ b/crates/registry/src/etcd.rs
@@ -4,7 +4,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use dahliaroad_fleet::{Places, Revision, Told, What};
+use dahliaroad_fleet::{EntryState, EntryUpdate, Places, Revision};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::metadata::{Ascii, MetadataValue};
@@ -122,14 +122,14 @@
 }
 
 impl Etcd {
-    fn told(&self, kv: &KeyValue, gone: bool) -> Option<Told> {
+    fn told(&self, kv: &KeyValue, gone: bool) -> Option<EntryUpdate> {
         let Some(name) = values::name(&self.prefix, &kv.key) else {
             tracing::warn!("registry: no name: {:.100}", String::from_utf8_lossy(&kv.key));
             return None;
         };
         let at = revision(kv.mod_revision);
         if gone {
-            return Some(Told { name: name.into(), at, what: What::Gone });
+            return Some(EntryUpdate { name: name.into(), at, state: EntryState::Gone });
         }
         let (told, why) = values::put(name, revision(kv.create_revision), at, &kv.value, &self.places);
         if let Some(why) = why {
@@ -250,7 +250,7 @@
         let mut client = MaintenanceClient::new(link.channel.clone());
         let answer = client.status(link.request(StatusRequest {})).await;
         let answer = answer.map_err(|status| failure(&status))?.into_inner();
-        Ok(Answer::Standing { header: header(answer.header)?, led: answer.leader != 0 })
+        Ok(Answer::ServingState { header: header(answer.header)?, led: answer.leader != 0 })
     }
 }
 
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use dahliaroad_fleet::{Epoch, Revision, Told, Word};
+use dahliaroad_fleet::{EntryUpdate, Epoch, Revision, SourceMessage};
 use rand_chacha::ChaCha8Rng;
 
 use crate::member::Members;
@@ -106,13 +106,13 @@
 pub enum Answer {
     Connected,
     Authenticated,
-    Standing {
+    ServingState {
         header: Header,
         led: bool,
     },
     Page {
         header: Header,
-        entries: Vec<Told>,
+        entries: Vec<EntryUpdate>,
         last: Option<Vec<u8>>,
         more: bool,
     },
@@ -122,7 +122,7 @@
     /// Events of a watch; `partial`: those of its last revision go on in the next.
     Batch {
         header: Header,
-        entries: Vec<Told>,
+        entries: Vec<EntryUpdate>,
         partial: bool,
     },
     Progress {
@@ -132,7 +132,7 @@
         index: u64,
         led: bool,
         age: Duration,
-        entries: Vec<Told>,
+        entries: Vec<EntryUpdate>,
     },
     Failed(Failure),
 }
@@ -181,7 +181,7 @@
 #[derive(Clone, Debug, Default)]
 struct Sweep {
     first: Option<Revision>,
-    entries: Vec<Told>,
+    entries: Vec<EntryUpdate>,
     after: Option<Vec<u8>>,
 }
 
@@ -201,7 +201,7 @@
     Checking,
     Reading(Sweep),
     Opening,
-    Listening { partial: Vec<Told>, silence: Silence },
+    Listening { partial: Vec<EntryUpdate>, silence: Silence },
     Polling { fresh: bool },
 }
 
@@ -346,12 +346,12 @@
     }
 
     /// Takes up how the last ask ended; what the registry says by it is to go to the fleet.
-    pub fn answered(&mut self, now: Duration, answer: Answer) -> Option<Word> {
+    pub fn answered(&mut self, now: Duration, answer: Answer) -> Option<SourceMessage> {
         match answer {
             Answer::Failed(failure) => self.failed(now, failure),
             Answer::Connected => self.enter(),
             Answer::Authenticated => self.stage = Stage::Checking,
-            Answer::Standing { header, led } => self.checked(now, header, led),
+            Answer::ServingState { header, led } => self.checked(now, header, led),
             Answer::Page { header, entries, last, more } => {
                 return self.page(now, header, entries, last, more);
             }
@@ -422,10 +422,10 @@
         &mut self,
         now: Duration,
         header: Header,
-        entries: Vec<Told>,
+        entries: Vec<EntryUpdate>,
         last: Option<Vec<u8>>,
         more: bool,
-    ) -> Option<Word> {
+    ) -> Option<SourceMessage> {
         let Stage::Reading(sweep) = &mut self.stage else { return None };
         let first = *sweep.first.get_or_insert(header.revision);
         sweep.entries.extend(entries);
@@ -450,7 +450,7 @@
         }
         (self.position, self.told) = (Some(first), Some(first));
         self.healthy();
-        Some(Word::Whole { epoch: self.epoch, revision: first, entries: sweep.entries })
+        Some(SourceMessage::Whole { epoch: self.epoch, revision: first, entries: sweep.entries })
     }
 
     /// The link has carried something that was of use.
@@ -471,7 +471,7 @@
         self.stage = Stage::Listening { partial: Vec::new(), silence: Silence::None };
     }
 
-    fn batch(&mut self, header: Header, entries: Vec<Told>, more: bool) -> Option<Word> {
+    fn batch(&mut self, header: Header, entries: Vec<EntryUpdate>, more: bool) -> Option<SourceMessage> {
         if self.is_of_another(header) {
             return None;
         }
@@ -482,15 +482,15 @@
             return None;
         }
         let after = self.position.unwrap_or_default();
-        let entries: Vec<Told> = partial.drain(..).filter(|told| told.at > after).collect();
+        let entries: Vec<EntryUpdate> = partial.drain(..).filter(|told| told.at > after).collect();
         let revision = entries.iter().map(|told| told.at).max()?;
         (self.position, self.told) = (Some(revision), Some(revision));
         self.compacted_in_a_row = 0;
         self.healthy();
-        Some(Word::Changes { epoch: self.epoch, after, revision, entries })
+        Some(SourceMessage::Changes { epoch: self.epoch, after, revision, entries })
     }
 
-    fn progress(&mut self, now: Duration, header: Header) -> Option<Word> {
+    fn progress(&mut self, now: Duration, header: Header) -> Option<SourceMessage> {
         if self.is_of_another(header) {
             return None;
         }
@@ -508,7 +508,7 @@
         (self.position, self.told) = (Some(header.revision), Some(header.revision));
         self.compacted_in_a_row = 0;
         self.healthy();
-        Some(Word::Nothing { epoch: self.epoch, revision: header.revision })
+        Some(SourceMessage::Nothing { epoch: self.epoch, revision: header.revision })
     }
 
     fn polled(
@@ -517,8 +517,8 @@
         index: u64,
         led: bool,
         age: Duration,
-        entries: Vec<Told>,
-    ) -> Option<Word> {
+        entries: Vec<EntryUpdate>,
+    ) -> Option<SourceMessage> {
         let Stage::Polling { fresh } = self.stage else { return None };
         let revision = Revision(index);
         if entries.len() > self.limits.most {
@@ -547,8 +547,10 @@
         self.told = Some(revision);
         let known = self.position.replace(revision);
         match known {
-            Some(at) if at == revision && index > 0 => Some(Word::Nothing { epoch: self.epoch, revision }),
-            _ => Some(Word::Whole { epoch: self.epoch, revision, entries }),
+            Some(at) if at == revision && index > 0 => {
+                Some(SourceMessage::Nothing { epoch: self.epoch, revision })
+            }
+            _ => Some(SourceMessage::Whole { epoch: self.epoch, revision, entries }),
         }
     }
 
--- a/crates/registry/src/values.rs
+++ b/crates/registry/src/values.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::ZoneId;
-use dahliaroad_fleet::{Entry, Life, Places, Revision, Standing, Told, What};
+use dahliaroad_fleet::{Entry, EntryState, EntryUpdate, Incarnation, Places, Revision, ServingState};
 use serde::Deserialize;
 
 /// No figure of an honest entry is larger; sums of such stay finite.
@@ -50,9 +50,9 @@
 
 impl Value {
     fn entry(self, created: Revision, places: &Places) -> Result<Entry, String> {
-        let standing = Standing::of(self.state.as_deref())?;
+        let standing = ServingState::of(self.state.as_deref())?;
         Ok(Entry {
-            life: Life { started: start(self.started_ms)?, created },
+            incarnation: Incarnation { started: start(self.started_ms)?, created },
             dial: Some(self.address),
             zone: zone(&self.zone, places)?,
             kind: places.kind(self.kind.as_deref()),
@@ -75,27 +75,28 @@
     at: Revision,
     value: &[u8],
     places: &Places,
-) -> (Told, Option<String>) {
+) -> (EntryUpdate, Option<String>) {
     let value = serde_json::from_slice::<Value>(value).map_err(|error| error.to_string());
     let entry = value.and_then(|value| value.entry(created, places));
     told(name, at, entry)
 }
 
-fn told(name: &str, at: Revision, entry: Result<Entry, String>) -> (Told, Option<String>) {
+fn told(name: &str, at: Revision, entry: Result<Entry, String>) -> (EntryUpdate, Option<String>) {
     let (what, why) = match entry {
-        Ok(entry) => (What::Listed(entry), None),
-        Err(why) => (What::Unreadable, Some(why)),
+        Ok(entry) => (EntryState::Listed(entry), None),
+        Err(why) => (EntryState::Unreadable, Some(why)),
     };
-    (Told { name: Arc::from(name), at, what }, why)
+    (EntryUpdate { name: Arc::from(name), at, state: what }, why)
 }
 
 /// One of the entries that a health question is answered with; where only its name can be read, it is there all the
 /// same. `None`: not even that.
-pub fn instance(text: &str, places: &Places) -> (Option<Told>, Option<String>) {
+pub fn instance(text: &str, places: &Places) -> (Option<EntryUpdate>, Option<String>) {
     let spoilt = |why: String| {
         let named = serde_json::from_str::<Named>(text).ok().map(|named| named.service.id);
         let named = named.filter(|name| !name.is_empty() && name.len() <= LONGEST_NAME);
-        let told = |name: String| Told { name: name.into(), at: Revision(0), what: What::Unreadable };
+        let told =
+            |name: String| EntryUpdate { name: name.into(), at: Revision(0), state: EntryState::Unreadable };
         (named.map(told), Some(why))
     };
     match serde_json::from_str::<Instance>(text) {
@@ -184,9 +185,9 @@
         let worst = |status: &str| checks.iter().any(|check| check.status == status);
         let failed = worst("critical") || worst("maintenance");
         let standing = match meta.drain.as_deref() {
-            Some("true" | "1" | "yes") => Standing::Draining,
-            _ if failed => Standing::Aside,
-            _ => Standing::Running,
+            Some("true" | "1" | "yes") => ServingState::Draining,
+            _ if failed => ServingState::Aside,
+            _ => ServingState::Running,
         };
         let number = |what: &str, text: Option<String>| {
             text.map(|text| text.parse().map_err(|_| format!("{what} is no number: {text:?}"))).transpose()
@@ -198,7 +199,7 @@
         let ip: IpAddr = address.parse().map_err(|_| format!("no IP address: {address:?}"))?;
         let zone = meta.zone.or(node_meta.zone).unwrap_or(node.datacenter);
         Ok(Entry {
-            life: Life {
+            incarnation: Incarnation {
                 started: start(number("started_ms", meta.started_ms)?)?,
                 created: Revision(service.create_index),
             },
@@ -211,7 +212,7 @@
     }
 
     /// Of an instance under its own name; `None` where it has none that can be used.
-    fn told(self, places: &Places) -> Option<(Told, Option<String>)> {
+    fn told(self, places: &Places) -> Option<(EntryUpdate, Option<String>)> {
         let (name, at) = (self.service.id.clone(), Revision(self.service.modify_index));
         if name.is_empty() || name.len() > LONGEST_NAME {
             return None;
@@ -233,9 +234,11 @@
         let good = r#"{"address":"10.0.0.1:80","zone":"b","kind":"m1","weight":2,"state":"draining","rack":7,
             "started_ms":1796149029119}"#;
         let read = |text: &str| put("e", Revision(3), Revision(5), text.as_bytes(), &places());
-        let (Told { what: What::Listed(entry), .. }, None) = read(good) else { panic!("not read") };
-        assert_eq!((entry.zone, entry.kind, entry.standing), (ZoneId(1), 0, Standing::Draining));
-        assert_eq!(entry.life.started, Some(Duration::from_millis(1_796_149_029_119)));
+        let (EntryUpdate { state: EntryState::Listed(entry), .. }, None) = read(good) else {
+            panic!("not read")
+        };
+        assert_eq!((entry.zone, entry.kind, entry.standing), (ZoneId(1), 0, ServingState::Draining));
+        assert_eq!(entry.incarnation.started, Some(Duration::from_millis(1_796_149_029_119)));
         let spoilt = [
             ("\"b\"", "\"c\"", "no such zone"),
             ("10.0.0.1:80", "here", "address"),
@@ -247,7 +250,7 @@
         ];
         for (from, to, wrong) in spoilt {
             let (told, why) = read(&good.replacen(from, to, 1));
-            assert_eq!(told.what, What::Unreadable, "{to}");
+            assert_eq!(told.state, EntryState::Unreadable, "{to}");
             assert!(why.unwrap().contains(wrong), "{wrong}");
         }
     }
@@ -268,16 +271,18 @@
             "Checks":[{"Status":"passing"},{"Status":"STATUS"}]}"#;
         let standing = |drain: &str, status: &str| {
             let text = text.replace("DRAIN", drain).replace("STATUS", status);
-            let (Some(Told { what: What::Listed(entry), .. }), None) = instance(&text, &places()) else {
+            let (Some(EntryUpdate { state: EntryState::Listed(entry), .. }), None) =
+                instance(&text, &places())
+            else {
                 panic!()
             };
             (entry.standing, entry.weight)
         };
-        assert_eq!(standing("", "passing"), (Standing::Running, 3.0));
-        assert_eq!(standing("", "warning"), (Standing::Running, 1.0));
-        assert_eq!(standing("", "critical"), (Standing::Aside, 3.0));
-        assert_eq!(standing("true", "passing"), (Standing::Draining, 3.0));
+        assert_eq!(standing("", "passing"), (ServingState::Running, 3.0));
+        assert_eq!(standing("", "warning"), (ServingState::Running, 1.0));
+        assert_eq!(standing("", "critical"), (ServingState::Aside, 3.0));
+        assert_eq!(standing("true", "passing"), (ServingState::Draining, 3.0));
         let (told, why) = instance(&text.replace("81", "\"here\""), &places());
-        assert_eq!((told.unwrap().what, why.is_some()), (What::Unreadable, true));
+        assert_eq!((told.unwrap().state, why.is_some()), (EntryState::Unreadable, true));
     }
 }
--- a/crates/registry/tests/follower.rs
+++ b/crates/registry/tests/follower.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Default)]
 struct Registry {
     cluster: u64,
-    log: Vec<Told>,
+    log: Vec<EntryUpdate>,
     /// Revisions, one for each place in the log.
     compacted: u64,
 }
@@ -33,42 +33,47 @@
         self.log.len() as u64
     }
 
-    fn put(&mut self, name: &Arc<str>, what: What) {
-        self.log.push(Told { name: name.clone(), at: Revision(self.revision() + 1), what });
+    fn put(&mut self, name: &Arc<str>, state: EntryState) {
+        self.log.push(EntryUpdate { name: name.clone(), at: Revision(self.revision() + 1), state });
     }
 
-    fn at(&self, revision: u64) -> BTreeMap<Arc<str>, Told> {
+    fn at(&self, revision: u64) -> BTreeMap<Arc<str>, EntryUpdate> {
         let mut state = BTreeMap::new();
         for told in &self.log[..revision as usize] {
-            match told.what {
-                What::Gone => drop(state.remove(&told.name)),
+            match told.state {
+                EntryState::Gone => drop(state.remove(&told.name)),
                 _ => drop(state.insert(told.name.clone(), told.clone())),
             }
         }
         state
     }
 
-    fn now(&self) -> BTreeMap<Arc<str>, Told> {
+    fn now(&self) -> BTreeMap<Arc<str>, EntryUpdate> {
         self.at(self.revision())
     }
 
     fn start(&mut self, name: &Arc<str>) {
         if self.now().contains_key(name) {
-            self.put(name, What::Gone);
+            self.put(name, EntryState::Gone);
         }
-        let life = Life { started: None, created: Revision(self.revision() + 1) };
-        let (zone, standing) = (ZoneId(0), Standing::Running);
-        self.put(name, What::Listed(Entry { life, dial: None, zone, kind: 0, weight: 1.0, standing }));
+        let life = Incarnation { started: None, created: Revision(self.revision() + 1) };
+        let (zone, standing) = (ZoneId(0), ServingState::Running);
+        self.put(
+            name,
+            EntryState::Listed(Entry { incarnation: life, dial: None, zone, kind: 0, weight: 1.0, standing }),
+        );
     }
 
     fn drain(&mut self, name: &Arc<str>) {
-        let Some(Told { what: What::Listed(entry), .. }) = self.now().remove(name) else { return };
-        self.put(name, What::Listed(Entry { standing: Standing::Draining, ..entry }));
+        let Some(EntryUpdate { state: EntryState::Listed(entry), .. }) = self.now().remove(name) else {
+            return;
+        };
+        self.put(name, EntryState::Listed(Entry { standing: ServingState::Draining, ..entry }));
     }
 
     fn delete(&mut self, name: &Arc<str>) {
         if self.now().contains_key(name) {
-            self.put(name, What::Gone);
+            self.put(name, EntryState::Gone);
         }
     }
 }
@@ -157,7 +162,7 @@
                 Answer::Connected
             }
             Ask::Authenticate => Answer::Authenticated,
-            Ask::Status => Answer::Standing { header: self.header(lag), led: true },
+            Ask::Status => Answer::ServingState { header: self.header(lag), led: true },
             Ask::Read { after, at, limit } => {
                 let at = at.map_or(registry.revision(), |at| at.0);
                 if at < registry.compacted {
@@ -170,7 +175,7 @@
                 let after = after.map(|after| String::from_utf8(after).unwrap());
                 let behind =
                     state.values().filter(|told| after.as_ref().is_none_or(|after| *told.name > **after));
-                let mut entries: Vec<Told> = behind.take(limit as usize + 1).cloned().collect();
+                let mut entries: Vec<EntryUpdate> = behind.take(limit as usize + 1).cloned().collect();
                 let more = entries.len() > limit as usize;
                 entries.truncate(limit as usize);
                 let last = entries.last().map(|told| told.name.as_bytes().to_vec());
@@ -217,11 +222,11 @@
         }
     }
 
-    fn note(&mut self, word: &Word) {
+    fn note(&mut self, word: &SourceMessage) {
         let (whole, epoch, entries) = match word {
-            Word::Whole { epoch, entries, .. } => (true, epoch.0, entries),
-            Word::Changes { epoch, entries, .. } => (false, epoch.0, entries),
-            Word::Nothing { .. } => return,
+            SourceMessage::Whole { epoch, entries, .. } => (true, epoch.0, entries),
+            SourceMessage::Changes { epoch, entries, .. } => (false, epoch.0, entries),
+            SourceMessage::Nothing { .. } => return,
         };
         let named: BTreeSet<&Arc<str>> = entries.iter().map(|told| &told.name).collect();
         let missing = self.listed.keys().filter(|name| whole && !named.contains(name));
@@ -229,13 +234,13 @@
             self.end(&name);
         }
         for told in entries {
-            match &told.what {
-                What::Listed(entry) => {
-                    let life = (epoch, entry.life.created.0);
+            match &told.state {
+                EntryState::Listed(entry) => {
+                    let life = (epoch, entry.incarnation.created.0);
                     if self.listed.get(&told.name).is_some_and(|old| old.1 != life.1) {
                         self.end(&told.name);
                     }
-                    if entry.standing == Standing::Draining {
+                    if entry.standing == ServingState::Draining {
                         self.over.insert((told.name.clone(), life.0, life.1));
                     }
                     self.listed.insert(told.name.clone(), life);
@@ -269,11 +274,11 @@
             let silent = matches!(answer, Answer::Failed(Failure::Silent));
             self.now += if silent { within } else { COST };
             let Some(word) = self.follower.answered(self.now, answer) else { continue };
-            let plain = self.plain.hear(self.now, SourceId(0), word.clone()).verdict;
-            let strict = self.strict.hear(self.now, SourceId(0), word.clone()).verdict;
+            let plain = self.plain.apply(self.now, SourceId(0), word.clone()).verdict;
+            let strict = self.strict.apply(self.now, SourceId(0), word.clone()).verdict;
             assert_eq!(plain, strict);
-            assert_ne!(strict, Verdict::Gap, "the follower told what does not follow");
-            if strict == Verdict::Taken {
+            assert_ne!(strict, Freshness::Gap, "the follower told what does not follow");
+            if strict == Freshness::Taken {
                 self.note(&word);
             }
             self.check();
@@ -281,8 +286,8 @@
     }
 
     fn running(fleet: &Fleet) -> BTreeMap<Arc<str>, u64> {
-        let running = fleet.believed().filter(|(_, entry)| entry.standing == Standing::Running);
-        running.map(|(name, entry)| (name, entry.life.created.0)).collect()
+        let running = fleet.believed().filter(|(_, entry)| entry.standing == ServingState::Running);
+        running.map(|(name, entry)| (name, entry.incarnation.created.0)).collect()
     }
 
     fn check(&self) {
@@ -293,9 +298,9 @@
     }
 
     fn truth(&self) -> BTreeMap<Arc<str>, u64> {
-        let running = |told: Told| match told.what {
-            What::Listed(entry) if entry.standing == Standing::Running => {
-                Some((told.name, entry.life.created.0))
+        let running = |told: EntryUpdate| match told.state {
+            EntryState::Listed(entry) if entry.standing == ServingState::Running => {
+                Some((told.name, entry.incarnation.created.0))
             }
             _ => None,
         };
@@ -603,7 +608,7 @@
                 assert!(matches!(ask, Ask::Poll { index: 0, .. }), "{ask:?}");
                 (now, asks) = (now + Duration::from_millis(1), asks + 1);
                 let polled = Answer::Polled { index: 0, led: true, age: Duration::ZERO, entries: vec![] };
-                assert!(matches!(follower.answered(now, polled), Some(Word::Whole { .. })));
+                assert!(matches!(follower.answered(now, polled), Some(SourceMessage::Whole { .. })));
             }
         }
     }
@@ -654,7 +659,7 @@
                     logins += 1;
                     if logins > 2 { Answer::Failed(Failure::Unauthorised) } else { Answer::Authenticated }
                 }
-                Ask::Status => Answer::Standing { header, led: true },
+                Ask::Status => Answer::ServingState { header, led: true },
                 Ask::Read { .. } => Answer::Page { header, entries: vec![], last: None, more: false },
                 Ask::Watch { .. } if logins == 1 && !std::mem::replace(&mut expired, true) => {
                     Answer::Failed(Failure::Unauthorised)
--- a/crates/registry/tests/stories.rs
+++ b/crates/registry/tests/stories.rs
@@ -51,7 +51,7 @@
     gates: Vec<Gate>,
     members: watch::Sender<Vec<String>>,
     fleet: Rc<RefCell<Fleet>>,
-    words: Rc<RefCell<Vec<Word>>>,
+    words: Rc<RefCell<Vec<SourceMessage>>>,
     tally: Rc<RefCell<Tally>>,
 }
 
@@ -103,9 +103,9 @@
         let tally = Rc::new(RefCell::new(Tally::default()));
         let begin = Instant::now();
         let (heard, kept, noted) = (fleet.clone(), words.clone(), tally.clone());
-        let tell = async move |word: Word| {
+        let tell = async move |word: SourceMessage| {
             kept.borrow_mut().push(word.clone());
-            heard.borrow_mut().hear(begin.elapsed(), source, word).verdict
+            heard.borrow_mut().apply(begin.elapsed(), source, word).verdict
         };
         let count = move |tally: &Tally| *noted.borrow_mut() = *tally;
         let chance = ChaCha8Rng::seed_from_u64(11);
@@ -134,7 +134,7 @@
 
     fn running(&self) -> Vec<String> {
         let fleet = self.fleet.borrow();
-        let running = fleet.believed().filter(|(_, entry)| entry.standing == Standing::Running);
+        let running = fleet.believed().filter(|(_, entry)| entry.standing == ServingState::Running);
         running.map(|(name, _)| name.to_string()).collect()
     }
 
@@ -195,7 +195,7 @@
         stage.store.put_all(&all);
         until("all", || stage.running().len() == 501).await;
         let words = stage.words.borrow();
-        let Some(Word::Changes { entries, .. }) = words.last() else { panic!("{:?}", words.last()) };
+        let Some(SourceMessage::Changes { entries, .. }) = words.last() else { panic!("{:?}", words.last()) };
         assert_eq!(entries.len(), 500);
     });
 }
