Pilot: arguments, operator's file and reload in files of their own; no circle with start

Cause: start.rs called commands.rs for the operator's file, and commands.rs called start.rs for the configuration; each held two jobs. Change: arguments.rs (command line), operator_file.rs, startup.rs (configuration), reload.rs (what SIGHUP changes); commands.rs keeps the commands beside serving. Words is Arguments, Start is Startup, Renewal is Reload.

--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -21,7 +21,7 @@
 
 use crate::counters;
 use crate::logging::shown;
-use crate::start::Limits;
+use crate::startup::Limits;
 
 const LONGEST: u32 = 1 << 20;
 /// No stranger's word is longer: it states a zone, or asks for a sign of life.
--- a/crates/pilot/src/commands.rs
+++ b/crates/pilot/src/commands.rs
@@ -1,15 +1,13 @@
-//! What the program is asked for on its command line.
+//! The commands beside serving: files checked and compared, the fleet followed.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use clap::builder::{OsStringValueParser, TypedValueParser};
-use clap::{Parser, Subcommand};
 use dahliaroad_dns::{Data, Fault, Listing, Schema, Zone};
 use dahliaroad_fleet::{Changes, Entry, Fleet, Places, ServingState};
 use dahliaroad_options::Options;
@@ -17,9 +15,10 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
 
-use crate::logging::Form;
+use crate::arguments::Arguments;
+use crate::operator_file::{self, text_of};
 use crate::sources::{Sources, Tallies, bounds};
-use crate::start::Start;
+use crate::startup::Startup;
 
 /// An exit for what was asked wrongly or is refused; a failure on the way is the usual 1.
 const REFUSED: u8 = 2;
@@ -27,81 +26,6 @@
 const LULL: Duration = Duration::from_millis(300);
 const LOOK: Duration = Duration::from_millis(50);
 
-#[derive(Parser)]
-#[command(name = "dahliaroad", version, about = "An assigner that tells forwarders where work goes")]
-pub struct Words {
-    /// The operator's own file; without it the program does what its platform runs
-    #[arg(long, env = "DAHLIAROAD_OPTIONS", global = true, value_name = "FILE", value_parser = path())]
-    pub options: Option<PathBuf>,
-    /// What the platform tells a pilot at its start
-    #[arg(long, env = "ROUTER_CONFIG", global = true, value_name = "FILE", value_parser = path())]
-    pub config: Option<PathBuf>,
-    /// What log lines look like; the operator's file may set it too
-    #[arg(long, global = true, value_enum)]
-    pub log: Option<Form>,
-    #[command(subcommand)]
-    pub command: Option<Command>,
-}
-
-/// An empty name is none, as an empty variable is.
-fn path() -> impl TypedValueParser<Value = PathBuf> {
-    OsStringValueParser::new().map(PathBuf::from)
-}
-
-impl Words {
-    /// As the program was started, without names that are empty.
-    pub fn read() -> Words {
-        let mut words = Words::parse();
-        for path in [&mut words.options, &mut words.config] {
-            path.take_if(|path| path.as_os_str().is_empty());
-        }
-        words
-    }
-}
-
-#[derive(Subcommand)]
-pub enum Command {
-    /// Serve as a pilot, as without any word
-    Serve,
-    /// Check a file, the operator's XML or the platform's JSON, and tell every fault found
-    Check { file: PathBuf },
-    /// Compare two files of a zone as a pilot would: what comes, drains, goes or changes
-    Zone {
-        old: PathBuf,
-        new: PathBuf,
-        /// The zone's own name
-        #[arg(long)]
-        apex: String,
-        /// The owner of the records that list endpoints, relative to the apex
-        #[arg(long)]
-        service: String,
-    },
-    /// Follow the operator's sources as a pilot would, and print the fleet that its decisions would be told of
-    Fleet {
-        /// Go on, and print each change
-        #[arg(long)]
-        follow: bool,
-        /// An object a line
-        #[arg(long)]
-        json: bool,
-        /// Give up where nothing was told by then, in seconds
-        #[arg(long, default_value_t = 10.0)]
-        within: f64,
-    },
-}
-
-fn text_of(path: &Path) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
-}
-
-/// The operator's file, or that there is none. Faults are told a line each.
-pub fn options(path: Option<&Path>) -> Result<Options, Vec<String>> {
-    let Some(path) = path else { return Ok(Options::default()) };
-    let text = text_of(path).map_err(|error| vec![error])?;
-    let told = |fault: dahliaroad_options::Fault| format!("{}: {fault}", path.display());
-    dahliaroad_options::read(&text).map_err(|faults| faults.into_iter().map(told).collect())
-}
-
 /// Every fault of a file, by what it looks like.
 fn faults(path: &Path) -> Vec<String> {
     let text = match text_of(path) {
@@ -109,10 +33,10 @@
         Err(error) => return vec![error],
     };
     if text.trim_start().starts_with('{') {
-        let start = Start::from_text(text.as_bytes());
+        let start = Startup::from_text(text.as_bytes());
         return start.err().map(|error| format!("{}: {error}", path.display())).into_iter().collect();
     }
-    let options = match options(Some(path)) {
+    let options = match operator_file::read(Some(path)) {
         Ok(options) => options,
         Err(faults) => return faults,
     };
@@ -239,7 +163,7 @@
 
 async fn follow_fleet(
     options: Options,
-    start: Start,
+    start: Startup,
     (follow, json, within): (bool, bool, Duration),
 ) -> io::Result<()> {
     let places = Places { zones: start.opening.zones.clone(), kinds: start.opening.kinds.clone() };
@@ -284,19 +208,19 @@
     Ok(())
 }
 
-pub fn fleet(words: &Words, follow: bool, json: bool, within: f64) -> ExitCode {
+pub fn fleet(arguments: &Arguments, follow: bool, json: bool, within: f64) -> ExitCode {
     let fail = |lines: Vec<String>| {
         lines.iter().for_each(|line| eprintln!("dahliaroad: {line}"));
         ExitCode::from(REFUSED)
     };
-    if words.options.is_none() {
+    if arguments.options.is_none() {
         return fail(vec!["no operator's file: give one by --options or DAHLIAROAD_OPTIONS".to_owned()]);
     }
-    let options = match options(words.options.as_deref()) {
+    let options = match operator_file::read(arguments.options.as_deref()) {
         Ok(options) => options,
         Err(faults) => return fail(faults),
     };
-    let start = match Start::read(words.config.as_deref()) {
+    let start = match Startup::read(arguments.config.as_deref()) {
         Ok(start) => start,
         Err(error) => return fail(vec![format!("configuration: {error}")]),
     };
--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -19,7 +19,7 @@
 use crate::counters;
 use crate::lists::ListMessage;
 use crate::pause::Pause;
-use crate::start::Address;
+use crate::reload::Address;
 
 /// The agent is on this machine: what is not there by then is not coming.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
--- a/crates/pilot/src/endpoints.rs
+++ b/crates/pilot/src/endpoints.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::counters;
-use crate::start::Limits;
+use crate::startup::Limits;
 
 /// Longer than a healthy endpoint's queue, shorter than the pause until the next probe is worth sending.
 const ANSWER_WITHIN: Duration = Duration::from_millis(600);
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -1,5 +1,6 @@
 //! A real pilot: the module of `dahliaroad` on sockets. Here the tasks are wired up and ended.
 
+mod arguments;
 mod collectors;
 mod commands;
 mod counters;
@@ -7,17 +8,19 @@
 mod endpoints;
 mod lists;
 mod logging;
+mod operator_file;
 mod pause;
 mod relay;
+mod reload;
 mod sources;
-mod start;
+mod startup;
 
 use std::io;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
-use commands::{Command, Words};
+use arguments::{Arguments, Command};
 use dahliaroad::Pilot;
 use dahliaroad::interface::Orders;
 use dahliaroad_fleet::{Fleet, Freshness, Places, SourceId, SourceMessage, SourceTerms};
@@ -29,8 +32,9 @@
 use pause::Pause;
 use rand::RngCore;
 use relay::Outbox;
+use reload::Reload;
 use sources::{Sources, Tallies};
-use start::{Renewal, Start};
+use startup::Startup;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
@@ -94,24 +98,29 @@
 }
 
 /// The process before this one may still be on its way out, and hold the address.
-async fn listen(start: &Start) -> io::Result<TcpListener> {
+async fn listen(startup: &Startup) -> io::Result<TcpListener> {
     let (mut pause, until) =
-        (Pause::new(FIRST_BIND, LONGEST_BIND, start.chance(5)), Instant::now() + BIND_WITHIN);
+        (Pause::new(FIRST_BIND, LONGEST_BIND, startup.chance(5)), Instant::now() + BIND_WITHIN);
     let mut told = false;
     loop {
-        match TcpListener::bind(start.listen).await {
+        match TcpListener::bind(startup.listen).await {
             Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
                 if !std::mem::replace(&mut told, true) {
-                    tracing::warn!("{}: {error}; tried again", start.listen);
+                    tracing::warn!("{}: {error}; tried again", startup.listen);
                 }
                 pause.take().await;
             }
-            bound => return bound.map_err(|error| io::Error::other(format!("{}: {error}", start.listen))),
+            bound => return bound.map_err(|error| io::Error::other(format!("{}: {error}", startup.listen))),
         }
     }
 }
 
-async fn serve(start: Start, words: &Words, options: &Options, signals: &mut Signals) -> io::Result<()> {
+async fn serve(
+    startup: Startup,
+    arguments: &Arguments,
+    options: &Options,
+    signals: &mut Signals,
+) -> io::Result<()> {
     let mut fleet = Fleet::new(sources::bounds(&options.fleet));
     let platform = (!options.without_discovery).then(|| fleet.add(SourceTerms::direct("discovery")));
     let mut sources = Sources::add(options, &mut fleet).map_err(io::Error::other)?;
@@ -119,12 +128,12 @@
     let listener = tokio::select! {
         biased;
         () = signals.end() => return Ok(()),
-        listener = listen(&start) => listener?,
+        listener = listen(&startup) => listener?,
     };
-    tracing::info!("{} listens on {}", start.name, listener.local_addr()?);
-    let [calls_chance, news_chance, watch_chance, mut stamps] = [1, 2, 3, 4].map(|task| start.chance(task));
-    let renewal = Renewal::of(&start, words, sources);
-    let Start { opening, known, limits, seed, .. } = start;
+    tracing::info!("{} listens on {}", startup.name, listener.local_addr()?);
+    let [calls_chance, news_chance, watch_chance, mut stamps] = [1, 2, 3, 4].map(|task| startup.chance(task));
+    let reload = Reload::of(&startup, arguments, sources);
+    let Startup { opening, known, limits, seed, .. } = startup;
     let (zones, classes) = (opening.zones, opening.classes);
     let proxies = opening.deployment.proxies as u32;
     let outbox = Rc::new(Outbox::new(classes.clone(), stamps.next_u32()));
@@ -133,13 +142,13 @@
     let controller = Controller::new(Pilot::new(opening.deployment), fleet);
     let places = Places { zones: zones.clone(), kinds: opening.kinds };
     let terms = relay::Terms { zones: zones.clone(), proxies };
-    let joined = relay::Joined::new(renewal.relay(), terms, outbox.clone(), inbox.clone());
+    let joined = relay::Joined::new(reload.relay(), terms, outbox.clone(), inbox.clone());
     let mut tasks = JoinSet::new();
     tasks.spawn_local(dahliaroad_host::run(controller, calls, outbox.clone(), probes, opening.turn));
     if let Some(source) = platform {
         let base = known.as_ref().and_then(ListMessage::base);
         let places = Rc::new(places.clone());
-        let watch = Watch::new(renewal.discovery(), places, inbox.clone(), source, base, watch_chance);
+        let watch = Watch::new(reload.discovery(), places, inbox.clone(), source, base, watch_chance);
         // What was last known of the list stands until discovery has answered.
         if let Some(known) = known {
             watch.route(&known).await;
@@ -153,7 +162,7 @@
         tasks.spawn_local(plan.follow(seed, places.clone(), tallies.clone(), tell));
     }
     tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, limits, inbox.clone()));
-    tasks.spawn_local(relay::carry_out(renewal.relay(), outbox, inbox.clone(), calls_chance));
+    tasks.spawn_local(relay::carry_out(reload.relay(), outbox, inbox.clone(), calls_chance));
     tasks.spawn_local(joined.follow(news_chance));
     let terms = collectors::Terms { zones, classes: classes.clone(), proxies };
     tasks.spawn_local(collectors::listen(listener, terms, limits, inbox.clone()));
@@ -178,46 +187,46 @@
                     () = told => {}
                 }
             }
-            _ = renew.recv() => renewal.renew(),
+            _ = renew.recv() => reload.reload(),
             task = tasks.join_next() => return Err(ended(task)),
         }
     }
 }
 
 /// Reads what it is started with, and serves. Signals are heard before: one that comes while a file is read is kept.
-async fn begin(words: &Words) -> io::Result<ExitCode> {
+async fn begin(arguments: &Arguments) -> io::Result<ExitCode> {
     let mut signals = Signals::take()?;
-    let options = match commands::options(words.options.as_deref()) {
+    let options = match operator_file::read(arguments.options.as_deref()) {
         Ok(options) => options,
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("dahliaroad: options: {fault}"));
             return Ok(ExitCode::FAILURE);
         }
     };
-    logging::start(words.log.unwrap_or(if options.log_json { Form::Json } else { Form::Text }));
-    let start = match Start::read(words.config.as_deref()) {
-        Ok(start) => start,
+    logging::start(arguments.log.unwrap_or(if options.log_json { Form::Json } else { Form::Text }));
+    let startup = match Startup::read(arguments.config.as_deref()) {
+        Ok(startup) => startup,
         Err(error) => {
             eprintln!("dahliaroad: configuration: {error}");
             return Ok(ExitCode::FAILURE);
         }
     };
-    let ended = serve(start, words, &options, &mut signals).await;
+    let ended = serve(startup, arguments, &options, &mut signals).await;
     tracing::info!("{}", counters::line());
     ended.map(|()| ExitCode::SUCCESS)
 }
 
 /// Serves as a pilot until it is told to end.
-fn pilot(words: &Words) -> ExitCode {
-    commands::on_one_thread(begin(words)).unwrap_or_else(|error| commands::exit_of(Err(error)))
+fn pilot(arguments: &Arguments) -> ExitCode {
+    commands::on_one_thread(begin(arguments)).unwrap_or_else(|error| commands::exit_of(Err(error)))
 }
 
 fn main() -> ExitCode {
-    let words = Words::read();
-    match &words.command {
-        None | Some(Command::Serve) => pilot(&words),
+    let arguments = Arguments::read();
+    match &arguments.command {
+        None | Some(Command::Serve) => pilot(&arguments),
         Some(Command::Check { file }) => commands::check(file),
         Some(Command::Zone { old, new, apex, service }) => commands::zone(old, new, apex, service),
-        Some(Command::Fleet { follow, json, within }) => commands::fleet(&words, *follow, *json, *within),
+        Some(Command::Fleet { follow, json, within }) => commands::fleet(&arguments, *follow, *json, *within),
     }
 }
--- /dev/null
+++ b/crates/pilot/src/operator_file.rs
@@ -0,0 +1,18 @@
+//! The operator's own file, and how its faults are told.
+
+use std::path::Path;
+
+use dahliaroad_options::Options;
+
+/// The text of a file; the error names it.
+pub fn text_of(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+/// The operator's file, or that there is none. Faults are told a line each.
+pub fn read(path: Option<&Path>) -> Result<Options, Vec<String>> {
+    let Some(path) = path else { return Ok(Options::default()) };
+    let text = text_of(path).map_err(|error| vec![error])?;
+    let told = |fault: dahliaroad_options::Fault| format!("{}: {fault}", path.display());
+    dahliaroad_options::read(&text).map_err(|faults| faults.into_iter().map(told).collect())
+}
--- a/crates/pilot/src/relay/calls.rs
+++ b/crates/pilot/src/relay/calls.rs
@@ -16,7 +16,7 @@
 use crate::counters;
 use crate::logging::shown;
 use crate::pause::Pause;
-use crate::start::Address;
+use crate::reload::Address;
 
 /// The relay closes idle connections, at some moment up to 10 s: one used just now is still good.
 const REUSED_WITHIN: Duration = Duration::from_secs(1);
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -18,7 +18,7 @@
 use crate::counters;
 use crate::logging::shown;
 use crate::pause::Pause;
-use crate::start::Address;
+use crate::reload::Address;
 
 /// Two signs of life missed, and one late.
 const SILENT: Duration = Duration::from_millis(2500);
