The story of moved addresses asks for the second move once the first is taken over

Cause: the story sends two SIGHUPs in a row and counted four configurations taken over. Change: the second move waits until the first is in the log; the stand-in goes on accepting for 300 ms at an address that was given up, so that no link may be lost at all: watches are held to none as well, where one was allowed. The relay's own message types, renamed by accident with those of membership, get names of their own.

--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -32,7 +32,7 @@
 const LARGEST: f64 = 1e9;
 
 #[derive(Deserialize)]
-struct EntryUpdate {
+struct Message {
     method: Option<String>,
     params: Option<Params>,
     result: Option<bool>,
@@ -63,7 +63,7 @@
     link.write(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"subscribe\"}\n").await?;
     let line = link.read(ANSWER_WITHIN).await?;
     match serde_json::from_slice(line) {
-        Ok(EntryUpdate { result: Some(true), .. }) => {}
+        Ok(Message { result: Some(true), .. }) => {}
         _ => return Err(unreadable(line)),
     }
     counters::SUBSCRIBED.add(1);
@@ -78,11 +78,11 @@
     inbox: Inbox,
     proxies: BTreeSet<u32>,
     /// What stands, since the last subscription and until all of it has been told.
-    standing: Option<ServingState>,
+    standing: Option<InitialState>,
 }
 
 #[derive(Default)]
-struct ServingState {
+struct InitialState {
     told: BTreeSet<u32>,
     /// Signs of life since the last one that was told.
     signs: u32,
@@ -90,8 +90,8 @@
     spoilt: bool,
 }
 
-/// What became of a word.
-enum Heard {
+/// What became of a message.
+enum Outcome {
     Taken,
     /// It told nothing that could be missed.
     LeftOut,
@@ -121,7 +121,7 @@
     async fn sign_of_life(&mut self) {
         let Some(standing) = &mut self.standing else { return };
         standing.signs += 1;
-        let Some(ServingState { told, spoilt, .. }) =
+        let Some(InitialState { told, spoilt, .. }) =
             self.standing.take_if(|standing| standing.signs >= SIGNS_BETWEEN)
         else {
             return;
@@ -162,7 +162,7 @@
         Some(())
     }
 
-    async fn admit(&mut self, told: EntryUpdate) -> Heard {
+    async fn admit(&mut self, told: Message) -> Outcome {
         let heard = match (told.method.as_deref(), told.params) {
             (Some("hello"), Some(params)) => self.hello(params).await,
             (Some("bye"), Some(Params { node: Some(node), .. })) => {
@@ -185,28 +185,28 @@
                 self.sign_of_life().await;
                 Some(())
             }
-            (Some(_), _) => return Heard::LeftOut,
+            (Some(_), _) => return Outcome::LeftOut,
         };
-        if heard.is_some() { Heard::Taken } else { Heard::Spoilt }
+        if heard.is_some() { Outcome::Taken } else { Outcome::Spoilt }
     }
 
     /// Of a word that is JSON and spoilt the method alone is of use; after what is no JSON nothing that follows can be
     /// trusted to be whole.
-    async fn take(&mut self, line: &[u8]) -> io::Result<Heard> {
+    async fn take(&mut self, line: &[u8]) -> io::Result<Outcome> {
         counters::NEWS.add(1);
         let heard = match serde_json::from_slice(line) {
             Ok(told) => self.admit(told).await,
             Err(_) => {
                 serde_json::from_slice::<IgnoredAny>(line).map_err(|_| unreadable(line))?;
                 let method = serde_json::from_slice::<Method>(line).ok().and_then(|Method { method }| method);
-                self.admit(EntryUpdate { method, params: None, result: None }).await
+                self.admit(Message { method, params: None, result: None }).await
             }
         };
-        if !matches!(heard, Heard::Taken) {
+        if !matches!(heard, Outcome::Taken) {
             counters::BAD.add(1);
             tracing::warn!("relay: news left out: {}", shown(line));
         }
-        if let (Heard::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
+        if let (Outcome::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
             standing.spoilt = true;
         }
         Ok(heard)
@@ -217,7 +217,7 @@
         let mut link = subscribe(self.address.now()).await?;
         let mut spoilt_at: Option<Instant> = None;
         loop {
-            self.standing = Some(ServingState::default());
+            self.standing = Some(InitialState::default());
             let (mut address, mut anew) = (self.address.clone(), None);
             let mut moved = pin!(address.moved(link.address, subscribe));
             let new = loop {
@@ -239,7 +239,7 @@
                 if self.standing.is_none() {
                     pause.reset();
                 }
-                if matches!(heard, Heard::Spoilt) && anew.is_none() {
+                if matches!(heard, Outcome::Spoilt) && anew.is_none() {
                     let now = Instant::now();
                     if spoilt_at.replace(now).is_none_or(|at| now - at > LONGEST_DOUBT * 2) {
                         doubt.reset();
--- a/crates/pilot/tests/stories.rs
+++ b/crates/pilot/tests/stories.rs
@@ -449,6 +449,12 @@
     pilot.signal("-HUP");
 }
 
+/// Configurations that the pilot has taken over, as far as its log tells.
+fn configurations_read(pilot: &Pilot) -> usize {
+    let told = |line: &&String| line.contains("configuration: discovery at");
+    pilot.log.borrow().iter().filter(told).count()
+}
+
 #[test]
 fn a_new_configuration_moves_all_links_before_the_old_ones_go_and_loses_nothing() {
     play(async {
@@ -458,6 +464,8 @@
             let (gone, subscribed) = (format!("e{round}"), world.subscriptions.get());
             move_on(&fleet, &pilot).await;
             if round == 1 {
+                // Two signals of one moment are one; the second is to come once the first is taken over.
+                until("read", || configurations_read(&pilot) == 2).await;
                 move_on(&fleet, &pilot).await;
             }
             world.leave(round);
@@ -470,11 +478,9 @@
         pilot.assert_alive().await;
         until("the old ones gone", || world.given_up.get() == 8).await;
         assert_eq!(pilot.count("configurations taken over").await, 4);
-        for lost in ["news lost", "calls without a readable answer"] {
+        for lost in ["news lost", "calls without a readable answer", "watches lost"] {
             assert_eq!(pilot.count(lost).await, 0, "{lost}");
         }
-        // A place given up before it took the connection breaks it off.
-        assert!(pilot.count("watches lost").await <= 1);
     });
 }
 
--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 pub use collector::{Collector, frame};
 pub use relay::Fault;
@@ -25,6 +25,10 @@
 /// How long connections outlive the address that they were made to.
 const OUTLIVES: Duration = Duration::from_millis(1500);
 
+/// How long an address that was given up still takes those who were on their way to it: a connection that the system has
+/// completed and nobody accepted would be reset.
+const ACCEPTS_STILL: Duration = Duration::from_millis(300);
+
 /// Takes connections until the address is given up, and closes those that are open a little later.
 async fn keep(
     listener: TcpListener,
@@ -33,9 +37,10 @@
     speak: impl AsyncFn(TcpStream, Rc<World>) + Clone + 'static,
 ) {
     let mut open = JoinSet::new();
+    let mut given_up_at = None;
     loop {
+        let last = given_up_at.unwrap_or_else(Instant::now);
         tokio::select! {
-            // Who has come before the address is given up is taken.
             biased;
             taken = listener.accept() => {
                 let Ok((stream, _)) = taken else { return };
@@ -43,11 +48,12 @@
                 open.spawn_local(async move { speak(stream, world).await });
                 while open.try_join_next().is_some() {}
             }
-            _ = kept.changed() => break,
+            _ = kept.changed(), if given_up_at.is_none() => given_up_at = Some(Instant::now() + ACCEPTS_STILL),
+            () = sleep_until(last), if given_up_at.is_some() => break,
         }
     }
     drop(listener);
-    sleep(OUTLIVES).await;
+    sleep(OUTLIVES - ACCEPTS_STILL).await;
     world.given_up.set(world.given_up.get() + 1);
 }
 
