Pilot: a list is read into one piece, and its entries decoded one by one from there

Each entry of a list was an allocation of its own before any was decoded, the decoded ones grew step by step in a second vector, and the body was collected in frames and copied whole. Now the body is read into one buffer of the length that was announced, the entries stay one text until each is decoded into a vector of the right length, and a list is let go before the pause behind it.

--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use dahliaroad_fleet::{Epoch, Places, SourceId};
 use dahliaroad_host::Desk;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -56,6 +57,21 @@
     Ok(Link { address, sender })
 }
 
+/// A body in one piece, to which each frame is added as it comes: a long list is never there twice.
+async fn read_body(mut body: Incoming) -> Res<Vec<u8>> {
+    let announced = body.size_hint().lower().min(LONGEST as u64);
+    let mut text = Vec::with_capacity(announced as usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else { continue };
+        if text.len() + data.len() > LONGEST {
+            return Err(format!("a list of more than {LONGEST} bytes"));
+        }
+        text.extend_from_slice(&data);
+    }
+    Ok(text)
+}
+
 /// One question for the list.
 struct Question {
     path: String,
@@ -83,9 +99,9 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()));
         }
-        let body = timeout_at(end, Limited::new(answer.into_body(), LONGEST).collect()).await;
-        let body = body.map_err(|_| "no end of the list in time")?.map_err(|error| error.to_string())?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+        let text = timeout_at(end, read_body(answer.into_body())).await;
+        let text = text.map_err(|_| "no end of the list in time")??;
+        serde_json::from_slice(&text).map_err(|error| error.to_string())
     }
 }
 
@@ -182,6 +198,8 @@
                 self.doubt.reset();
             }
         }
+        // A pause may be long, and a whole list large.
+        drop(list);
         // A watch that ends long before its time and brings nothing would be asked again without end.
         if progress || after * 2 >= question.wait {
             self.pause.reset();
--- a/crates/pilot/src/lists.rs
+++ b/crates/pilot/src/lists.rs
@@ -7,6 +7,7 @@
 
 use dahliaroad_fleet::{Entry, Epoch, Life, Places, Revision, Standing, Told, What, Word};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use serde_json::value::RawValue;
 
 use crate::counters;
@@ -19,7 +20,31 @@
 pub struct ListMessage {
     seq: u64,
     whole: bool,
-    hosts: Vec<Box<RawValue>>,
+    hosts: RawArray,
+}
+
+/// An array of JSON as written, in one piece however many elements it has: each is decoded on its own, later.
+#[derive(Deserialize)]
+#[serde(try_from = "Box<RawValue>")]
+struct RawArray {
+    text: Box<RawValue>,
+    length: usize,
+}
+
+impl TryFrom<Box<RawValue>> for RawArray {
+    type Error = serde_json::Error;
+
+    fn try_from(text: Box<RawValue>) -> Result<RawArray, serde_json::Error> {
+        // Elements that are ignored take no room.
+        let length = serde_json::from_str::<Vec<IgnoredAny>>(text.get())?.len();
+        Ok(RawArray { text, length })
+    }
+}
+
+impl RawArray {
+    fn elements(&self) -> serde_json::Result<Vec<&RawValue>> {
+        serde_json::from_str(self.text.get())
+    }
 }
 
 #[derive(Deserialize)]
@@ -60,21 +85,22 @@
 
     /// Nothing has changed.
     pub fn is_empty(&self) -> bool {
-        !self.whole && self.hosts.is_empty()
+        !self.whole && self.hosts.length == 0
     }
 
     /// What it says, and whether all of it could be read. An entry that cannot be costs itself alone: what was known of its
     /// endpoint stands, and where not even its name can be read, nobody who is missing is gone.
     pub fn admit(&self, places: &Places, epoch: Epoch) -> (Word, bool) {
         let revision = Revision(self.seq);
-        let entries: Vec<Option<Told>> =
-            self.hosts.iter().map(|host| self.admit_host(host, places)).collect();
-        let admitted = |told: &Option<Told>| told.as_ref().is_some_and(|told| told.what != What::Unreadable);
-        let spoilt = entries.iter().filter(|told| !admitted(told)).count();
+        let hosts = self.hosts.elements().unwrap_or_default();
+        // As long as the list from the start: one that grew step by step would be there twice at its last step.
+        let mut entries = Vec::with_capacity(hosts.len());
+        entries.extend(hosts.iter().filter_map(|host| self.admit_host(host, places)));
+        let nameless = self.hosts.length - entries.len();
+        let unreadable = entries.iter().filter(|told| told.what == What::Unreadable).count();
+        let spoilt = nameless + unreadable;
         counters::BAD.add(spoilt);
-        let nameless = entries.iter().any(Option::is_none);
-        let entries = entries.into_iter().flatten().collect();
-        let word = match self.whole && !nameless {
+        let word = match self.whole && nameless == 0 {
             true => Word::Whole { epoch, revision, entries },
             false => Word::Changes { epoch, after: revision, revision, entries },
         };
