Measure: process, real pilots at the size of a large service

What a pilot process needs by the length of its list was not to be measured with one command. Lists, changes and configurations are drawn from a seed; machine and sizes stand beside the figures. What makes no sense ends in one line and exit 2 before anything is started.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements, kept out of the tests: each is one command, and prints its size beside its figures.
 
 mod process;
+mod process_scale;
 mod registry;
 
 use std::process::ExitCode;
@@ -9,6 +10,9 @@
 use clap::{Parser, Subcommand};
 use tokio::task::LocalSet;
 
+/// Of what makes no sense to measure, as of a command line that cannot be read.
+const REFUSED: u8 = 2;
+
 #[derive(Parser)]
 #[command(
     about = "Measures the pilot against stand-ins on loopback; build the program first, in release form"
@@ -22,6 +26,8 @@
 enum What {
     /// From a change in the registry to the order at the relay, and back to the truth after a break
     Registry(registry::Words),
+    /// What real pilot processes need in time, memory, processor time and bytes, by the length of the list
+    Process(process_scale::Words),
 }
 
 fn main() -> ExitCode {
@@ -30,6 +36,7 @@
     let measured = runtime.map_err(Into::into).and_then(|runtime| {
         let measured = match words.what {
             What::Registry(words) => LocalSet::new().block_on(&runtime, registry::measure(words)),
+            What::Process(words) => LocalSet::new().block_on(&runtime, process_scale::measure(words)),
         };
         runtime.shutdown_timeout(Duration::ZERO);
         measured
@@ -38,7 +45,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dahliaroad-measure: {error}");
-            ExitCode::FAILURE
+            if error.is::<process_scale::Refused>() { ExitCode::from(REFUSED) } else { ExitCode::FAILURE }
         }
     }
 }
--- /dev/null
+++ b/crates/measure/src/process_scale/plan.rs
@@ -0,0 +1,126 @@
+//! What is measured, as asked for on the command line; what makes no sense is refused before anything is started.
+
+use std::error::Error;
+use std::fmt;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+
+use clap::Args;
+
+/// A few dozen: each is a process of its own on this machine.
+const PROCESSES: RangeInclusive<u32> = 1..=48;
+/// A pilot reads a list of at most 8 MiB.
+const ENDPOINTS: RangeInclusive<usize> = 1..=60_000;
+/// Entries of all processes together; each may cost a process some KB.
+const MOST_ENTRIES: usize = 1_200_000;
+const PROXIES: RangeInclusive<u32> = 1..=4096;
+const REQUESTS: RangeInclusive<f64> = 0.0..=1000.0;
+const CHANGES: RangeInclusive<f64> = 0.1..=1000.0;
+const SECONDS: RangeInclusive<f64> = 0.5..=60.0;
+const RUNS: RangeInclusive<usize> = 1..=20;
+
+#[derive(Args, Clone, Debug)]
+pub struct Words {
+    /// Entries of the list; several sizes are measured one after the other
+    #[arg(long, value_delimiter = ',', default_value = "100,1000,10000,22500,50000")]
+    pub endpoints: Vec<usize>,
+    /// Pilot processes that run at a time
+    #[arg(long, default_value_t = 1)]
+    pub processes: u32,
+    /// Pilots in the settings, whether they run here or not; as many as processes, if not given
+    #[arg(long)]
+    pub balancers: Option<u32>,
+    /// The number of the first process among the pilots of the settings
+    #[arg(long, default_value_t = 0)]
+    pub me: u32,
+    /// Proxies joined to each process
+    #[arg(long, default_value_t = 100)]
+    pub proxies: u32,
+    /// Requests of each proxy a second
+    #[arg(long, default_value_t = 5.0)]
+    pub requests: f64,
+    /// Changes of the list a second: drains and new lives by turns
+    #[arg(long, default_value_t = 10.0)]
+    pub changes: f64,
+    /// How long each phase is measured
+    #[arg(long, default_value_t = 5.0)]
+    pub seconds: f64,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How often each size is measured
+    #[arg(long, default_value_t = 1)]
+    pub runs: usize,
+    /// Afterwards all processes are killed and brought back at one moment
+    #[arg(long)]
+    pub restart: bool,
+    /// The program to measure; several are measured by turns
+    #[arg(long)]
+    pub program: Vec<PathBuf>,
+    /// Where all figures go
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+}
+
+/// Why nothing was measured.
+#[derive(Debug)]
+pub struct Refused(String);
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Error for Refused {}
+
+fn within<T: PartialOrd + fmt::Display>(
+    name: &str,
+    value: T,
+    range: RangeInclusive<T>,
+) -> Result<(), Refused> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(Refused(format!("--{name} {value} is not within {} and {}", range.start(), range.end())))
+}
+
+impl Words {
+    /// Pilots in the settings.
+    pub fn balancers(&self) -> u32 {
+        self.balancers.unwrap_or(self.processes)
+    }
+
+    pub fn check(&self) -> Result<(), Refused> {
+        within("processes", self.processes, PROCESSES)?;
+        within("balancers", self.balancers(), 1..=u32::MAX)?;
+        if u64::from(self.me) + u64::from(self.processes) > u64::from(self.balancers()) {
+            return Err(Refused(format!(
+                "--me {}: with {} processes, past the last of {} pilots",
+                self.me,
+                self.processes,
+                self.balancers()
+            )));
+        }
+        if self.endpoints.is_empty() {
+            return Err(Refused("--endpoints names no size".to_owned()));
+        }
+        for endpoints in &self.endpoints {
+            within("endpoints", *endpoints, ENDPOINTS)?;
+            let entries = endpoints * self.processes as usize;
+            if entries > MOST_ENTRIES {
+                return Err(Refused(format!(
+                    "{entries} entries in all processes are more than {MOST_ENTRIES}"
+                )));
+            }
+        }
+        within("proxies", self.proxies, PROXIES)?;
+        within("requests", self.requests, REQUESTS)?;
+        within("changes", self.changes, CHANGES)?;
+        within("seconds", self.seconds, SECONDS)?;
+        within("runs", self.runs, RUNS)?;
+        match self.program.iter().find(|program| !program.is_file()) {
+            Some(missing) => Err(Refused(format!("--program {}: no such file", missing.display()))),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/process_scale/report.rs
@@ -0,0 +1,113 @@
+//! What was found, for people and for programs.
+
+use std::path::Path;
+
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::plan::Words;
+use super::trial::{Figures, Trial};
+
+/// All runs of one size of one program.
+#[derive(Debug, Serialize)]
+pub struct Size {
+    pub program: String,
+    pub endpoints: usize,
+    pub runs: Vec<Trial>,
+}
+
+type Figure = fn(&Figures) -> Option<f64>;
+
+/// A figure's name, its unit, and where it stands.
+const ROWS: [(&str, &str, Figure); 17] = [
+    ("ready", "ms", |of| Some(of.ready_ms)),
+    ("first table", "ms", |of| Some(of.first_table_ms)),
+    ("processor up to the first table", "ms", |of| Some(of.hear_processor_ms)),
+    ("processor until settled", "ms", |of| Some(of.settled_processor_ms)),
+    ("peak memory until settled", "MB", |of| Some(of.settled_peak_mb)),
+    ("lines ordered until settled", "", |of| Some(of.lines_at_start)),
+    ("tables", "", |of| Some(of.tables)),
+    ("proxies bound when settled", "", |of| Some(of.proxies_bound)),
+    ("processor at rest", "ms/s", |of| Some(of.rest_processor_ms)),
+    ("processor with changes", "ms/s", |of| Some(of.changes_processor_ms)),
+    ("processor of the changes alone", "ms/s", |of| Some(of.changes_processor_ms - of.rest_processor_ms)),
+    ("processor with changes and reports", "ms/s", |of| Some(of.reports_processor_ms)),
+    ("received with changes and reports", "B/s", |of| Some(of.received_bytes)),
+    ("sent with changes and reports", "B/s", |of| Some(of.sent_bytes)),
+    ("peak memory at the end", "MB", |of| Some(of.peak_mb)),
+    ("ready after all were killed", "ms", |of| of.again_ready_ms),
+    ("first table after all were killed", "ms", |of| of.again_first_table_ms),
+];
+
+fn line_of(path: &str, name: &str) -> String {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim_start().strip_prefix(':'));
+    line.unwrap_or("unknown").trim().to_owned()
+}
+
+fn first_line(path: &str) -> String {
+    std::fs::read_to_string(path).unwrap_or_default().trim().to_owned()
+}
+
+/// The machine, and how busy it was.
+pub fn machine() -> Value {
+    json!({
+        "cores": std::thread::available_parallelism().map_or(0, usize::from),
+        "processor": line_of("/proc/cpuinfo", "model name"),
+        "memory": line_of("/proc/meminfo", "MemTotal"),
+        "kernel": first_line("/proc/sys/kernel/osrelease"),
+        "load": first_line("/proc/loadavg"),
+    })
+}
+
+/// What was asked for.
+pub fn plan(words: &Words) -> Value {
+    json!({
+        "endpoints": words.endpoints,
+        "processes": words.processes,
+        "balancers": words.balancers(),
+        "me": words.me,
+        "proxies": words.proxies,
+        "requests": words.requests,
+        "changes": words.changes,
+        "seconds": words.seconds,
+        "seed": words.seed,
+        "runs": words.runs,
+        "restart": words.restart,
+    })
+}
+
+fn print_row(name: &str, unit: &str, mut values: Vec<f64>) {
+    values.sort_by(f64::total_cmp);
+    let (Some(least), Some(most)) = (values.first(), values.last()) else { return };
+    let median = values[values.len() / 2];
+    println!("  {name:36} {median:12.1} {unit:4}  [{least:.1} .. {most:.1}]");
+}
+
+impl Size {
+    /// The median and the spread over all processes and runs.
+    pub fn print(&self) {
+        let bytes = self.runs.first().map_or(0, |run| run.list_bytes);
+        let processes = self.runs.first().map_or(0, |run| run.processes.len());
+        println!(
+            "{} endpoints, a list of {bytes} bytes ({:.1} each); {processes} processes, {} runs of {}",
+            self.endpoints,
+            bytes as f64 / self.endpoints as f64,
+            self.runs.len(),
+            self.program,
+        );
+        for (name, unit, figure) in ROWS {
+            print_row(
+                name,
+                unit,
+                self.runs.iter().flat_map(|run| &run.processes).filter_map(figure).collect(),
+            );
+        }
+    }
+}
+
+/// Writes all figures of all runs to a file.
+pub fn write(path: &Path, machine: &Value, words: &Words, sizes: &[Size]) -> std::io::Result<()> {
+    let all = json!({"machine": machine, "plan": plan(words), "sizes": sizes});
+    std::fs::write(path, format!("{all:#}\n"))
+}
