Measure: a run that fails is told of and ends no other; settled means that all proxies are bound

A pilot that sent no table within a minute (50,000 endpoints on a busy machine) ended the whole measurement, its other sizes included, and one that was still at its first split passed for settled. Now the failure stands with its size and the command ends with an error after all sizes; settled is when all proxies are bound and no call came for 1.5 s, after 30 s at the latest.

--- a/crates/measure/src/process_scale/mod.rs
+++ b/crates/measure/src/process_scale/mod.rs
@@ -20,16 +20,19 @@
 type Res<T> = Result<T, Box<dyn Error>>;
 
 /// The programs by turns in each run, so that what else the machine does falls on all of them alike.
-async fn measure_size(words: &Words, programs: &[PathBuf], endpoints: usize) -> Res<Vec<Size>> {
-    let size =
-        |program: &PathBuf| Size { program: program.display().to_string(), endpoints, runs: Vec::new() };
+async fn measure_size(words: &Words, programs: &[PathBuf], endpoints: usize) -> Vec<Size> {
+    let name = |program: &PathBuf| program.display().to_string();
+    let size = |program| Size { program: name(program), endpoints, runs: Vec::new(), failed: Vec::new() };
     let mut sizes: Vec<Size> = programs.iter().map(size).collect();
     for _ in 0..words.runs {
         for (size, program) in sizes.iter_mut().zip(programs) {
-            size.runs.push(trial::run(words, endpoints, program).await?);
+            match trial::run(words, endpoints, program).await {
+                Ok(trial) => size.runs.push(trial),
+                Err(error) => size.failed.push(error.to_string()),
+            }
         }
     }
-    Ok(sizes)
+    sizes
 }
 
 /// Measures what the command line asks for, and prints it.
@@ -44,7 +47,7 @@
     println!("plan: {}", report::plan(&words));
     let mut sizes = Vec::new();
     for endpoints in &words.endpoints {
-        for size in measure_size(&words, &programs, *endpoints).await? {
+        for size in measure_size(&words, &programs, *endpoints).await {
             size.print();
             sizes.push(size);
         }
@@ -52,5 +55,8 @@
     if let Some(path) = &words.json {
         report::write(path, &machine, &words, &sizes)?;
     }
-    Ok(())
+    match sizes.iter().map(|size| size.failed.len()).sum::<usize>() {
+        0 => Ok(()),
+        failed => Err(format!("{failed} runs failed").into()),
+    }
 }
--- a/crates/measure/src/process_scale/report.rs
+++ b/crates/measure/src/process_scale/report.rs
@@ -14,6 +14,8 @@
     pub program: String,
     pub endpoints: usize,
     pub runs: Vec<Trial>,
+    /// Why runs gave no figures.
+    pub failed: Vec<String>,
 }
 
 type Figure = fn(&Figures) -> Option<f64>;
@@ -87,21 +89,21 @@
 impl Size {
     /// The median and the spread over all processes and runs.
     pub fn print(&self) {
+        let (endpoints, program) = (self.endpoints, &self.program);
         let bytes = self.runs.first().map_or(0, |run| run.list_bytes);
+        let each = bytes as f64 / endpoints as f64;
         let processes = self.runs.first().map_or(0, |run| run.processes.len());
+        let (runs, failed) = (self.runs.len(), self.failed.len());
+        println!("{program}:");
         println!(
-            "{} endpoints, a list of {bytes} bytes ({:.1} each); {processes} processes, {} runs of {}",
-            self.endpoints,
-            bytes as f64 / self.endpoints as f64,
-            self.runs.len(),
-            self.program,
+            "  {endpoints} endpoints, {bytes} bytes ({each:.1} each), processes {processes}, runs {runs}, failed {failed}"
         );
         for (name, unit, figure) in ROWS {
-            print_row(
-                name,
-                unit,
-                self.runs.iter().flat_map(|run| &run.processes).filter_map(figure).collect(),
-            );
+            let all = self.runs.iter().flat_map(|run| &run.processes);
+            print_row(name, unit, all.filter_map(figure).collect());
+        }
+        for error in &self.failed {
+            println!("  failed: {error}");
         }
     }
 }
--- a/crates/measure/src/process_scale/service.rs
+++ b/crates/measure/src/process_scale/service.rs
@@ -27,8 +27,9 @@
 const AT_MOST: Duration = Duration::from_secs(60);
 /// Between two tries to be answered.
 const RETRY: Duration = Duration::from_millis(1);
-/// Without a call for so long, all of what was ordered at the start is out; it is waited for no longer than that.
+/// Once all proxies are bound and no call came for so long, all of what was ordered at the start is out.
 const QUIET: Duration = Duration::from_millis(1500);
+/// It is waited for no longer than that.
 const SETTLED_WITHIN: Duration = Duration::from_secs(30);
 
 /// A process that runs.
@@ -94,15 +95,15 @@
     }
     let ready = begin.elapsed();
     let first_table = timeout(AT_MOST, relay.first_table()).await;
-    let first_table = first_table.map_err(|_| "no table was ever ordered")? - begin;
+    let first_table = first_table.map_err(|_| format!("no table within {AT_MOST:?}"))? - begin;
     let processor = pilot.scheduled().map_err(|error| error.to_string())?;
     Ok((Running { pilot, address }, Started { ready, first_table, processor }))
 }
 
 impl Member {
-    async fn settled(&self) {
+    async fn settled(&self, proxies: u32) {
         let quiet = || self.relay.ordered().last_call.is_none_or(|at| at.elapsed() >= QUIET);
-        while !quiet() {
+        while self.relay.bound() < proxies as usize || !quiet() {
             sleep(QUIET / 10).await;
         }
     }
@@ -140,8 +141,9 @@
         let tasks: Vec<JoinHandle<_>> = self.members.iter().map(spawn).collect();
         let mut all = Vec::new();
         for (member, task) in self.members.iter_mut().zip(tasks) {
-            let (running, started) =
-                timeout(AT_MOST * 2, task).await.map_err(|_| "a pilot never answered")???;
+            let (running, started) = timeout(AT_MOST * 2, task)
+                .await
+                .map_err(|_| format!("no start within {:?}", AT_MOST * 2))???;
             member.running = Some(running);
             all.push(started);
         }
@@ -151,7 +153,7 @@
     /// Waits until what was ordered at the start is out.
     pub async fn settle(&self) {
         for member in &self.members {
-            let _ = timeout(SETTLED_WITHIN, member.settled()).await;
+            let _ = timeout(SETTLED_WITHIN, member.settled(self.words.proxies)).await;
         }
     }
 
