Fleet: names in a hash map, with room for a whole list from the start

Each look at a name compared it with some 15 others along a B-tree, each comparison at another place of memory. Names now stand in a hash map; what is told in order (names missing from a whole list, names believed) is sorted where it is told. A whole list's room is there at once, and its names are compared by a hash set.

All tests of crates/fleet green as they are.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What is believed of each name, and what of it has been handed on.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -84,7 +84,8 @@
 pub struct Fleet {
     bounds: Bounds,
     sources: Vec<Source>,
-    seen: BTreeMap<Arc<str>, Seen>,
+    /// In no order: what is handed on is put in order where that matters.
+    seen: HashMap<Arc<str>, Seen>,
     tombstones: Tombstones,
     /// Of paced sources: names whose state is not yet handed on.
     pending: BTreeSet<Arc<str>>,
@@ -101,7 +102,7 @@
         Fleet {
             bounds,
             sources: Vec::new(),
-            seen: BTreeMap::new(),
+            seen: HashMap::new(),
             tombstones: Tombstones::default(),
             pending: BTreeSet::new(),
             bucket: None,
@@ -128,9 +129,12 @@
         self.sources.iter().map(state).collect()
     }
 
-    /// Names and what is believed of them now, handed on or not.
+    /// Names in order, and what is believed of them now, handed on or not.
     pub fn believed(&self) -> impl Iterator<Item = (Arc<str>, Entry)> {
-        self.seen.iter().filter_map(|(name, seen)| Some((name.clone(), Entry::clone(&*seen.by.merged()?))))
+        let believed = |(name, seen): (&Arc<str>, &Seen)| Some((name.clone(), seen.by.merged()?));
+        let mut all: Vec<(Arc<str>, Arc<Entry>)> = self.seen.iter().filter_map(believed).collect();
+        all.sort_unstable_by(|(one, _), (other, _)| one.cmp(other));
+        all.into_iter().map(|(name, entry)| (name, Entry::clone(&entry)))
     }
 
     /// Lives that are remembered as over.
@@ -193,6 +197,9 @@
                 touched.push(name);
             }
         }
+        if whole {
+            self.seen.reserve(entries.len().saturating_sub(self.seen.len()));
+        }
         for EntryUpdate { name, at, state } in entries {
             match state {
                 EntryState::Listed(entry) => self.list(now, from, (epoch, at, same_epoch), &name, entry),
@@ -228,17 +235,17 @@
         Change { name, entry }
     }
 
-    /// Names that the source listed so far and that its new list is without.
+    /// Names in order that the source listed so far and that its new list is without.
     fn missing(&self, from: SourceId, entries: &[EntryUpdate]) -> Vec<Arc<str>> {
         if self.sources[from.0 as usize].listed == 0 {
             return Vec::new();
         }
-        let mut named: Vec<&str> = entries.iter().map(|told| &*told.name).collect();
-        named.sort_unstable();
-        let is_missing =
-            |name: &str, seen: &Seen| seen.by.get(from).is_some() && named.binary_search(&name).is_err();
+        let named: HashSet<&str> = entries.iter().map(|told| &*told.name).collect();
+        let is_missing = |name: &str, seen: &Seen| seen.by.get(from).is_some() && !named.contains(name);
         let missing = self.seen.iter().filter(|(name, seen)| is_missing(name, seen));
-        missing.map(|(name, _)| name.clone()).collect()
+        let mut missing: Vec<Arc<str>> = missing.map(|(name, _)| name.clone()).collect();
+        missing.sort_unstable();
+        missing
     }
 
     fn listing(&self, from: SourceId, name: &str) -> Option<&Listing> {
