measure module: processor time and heap of the decision module alone, by one size at a time

Cause: what a pilot costs at the sizes of the next two years was known from an ad-hoc trial only. Change: a sub-command drives one module without sockets (the list, joins, rounds of a report a second from every endpoint and from every proxy a class), varies endpoints, proxies, classes or zones one at a time, and prints processor time by kind of call, peak heap, sizes, machine and exponents; figures as JSON, curves as SVG (plotters). Senseless sizes, and words that cannot be read, end in one line and exit code 2 before memory is taken.

--- /dev/null
+++ b/crates/measure/src/machine.rs
@@ -0,0 +1,40 @@
+//! The machine that measured, as `/proc` describes it.
+
+use std::fs::read_to_string;
+
+use serde::Serialize;
+
+/// What is printed beside every figure.
+#[derive(Clone, Debug, Serialize)]
+pub struct Machine {
+    pub processor: String,
+    pub cores: usize,
+    pub memory_mb: u64,
+    pub available_mb: u64,
+}
+
+impl Machine {
+    /// Fields that cannot be read are empty or zero.
+    pub fn read() -> Machine {
+        let processors = read_to_string("/proc/cpuinfo").unwrap_or_default();
+        let memory = read_to_string("/proc/meminfo").unwrap_or_default();
+        Machine {
+            processor: field(&processors, "model name").unwrap_or_default().to_owned(),
+            cores: processors.lines().filter(|line| line.starts_with("processor")).count(),
+            memory_mb: megabytes(&memory, "MemTotal"),
+            available_mb: megabytes(&memory, "MemAvailable"),
+        }
+    }
+}
+
+/// The value of the first `name: value` line.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let fields = text.lines().filter_map(|line| line.split_once(':'));
+    let mut named = fields.filter(|(key, _)| key.trim() == name);
+    named.next().map(|(_, value)| value.trim())
+}
+
+fn megabytes(text: &str, name: &str) -> u64 {
+    let kilobytes = field(text, name).and_then(|value| value.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) / 1024
+}
--- /dev/null
+++ b/crates/measure/tests/module.rs
@@ -0,0 +1,147 @@
+//! The sub-command `module` as a process: senseless sizes end at once, and one seed gives the same counts.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+const SENSELESS: i32 = 2;
+
+/// One small size of each kind, so that a debug build takes a moment only.
+const SMALL: [&str; 15] = [
+    "--vary",
+    "endpoints",
+    "--endpoints",
+    "8,16",
+    "--base-proxies",
+    "6",
+    "--base-zones",
+    "2",
+    "--warm-up",
+    "8",
+    "--rounds",
+    "2",
+    "--repeats",
+    "2",
+    "--json",
+];
+
+fn module(arguments: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_dahliaroad-measure");
+    Command::new(program).arg("module").args(arguments).output().expect("the program starts")
+}
+
+/// A file of the test's own, removed when it goes.
+struct Temporary(PathBuf);
+
+impl Temporary {
+    fn new(name: &str) -> Temporary {
+        Temporary(std::env::temp_dir().join(format!("measure-module-{}-{name}", std::process::id())))
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("a path in UTF-8")
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn assert_senseless(arguments: &[&str], said: &str) {
+    let output = module(arguments);
+    let error = String::from_utf8(output.stderr).expect("UTF-8");
+    assert_eq!(output.status.code(), Some(SENSELESS), "{arguments:?}: {error}");
+    assert_eq!(error.lines().count(), 1, "{arguments:?}: {error}");
+    assert!(error.contains(said), "{arguments:?}: {error}");
+    assert!(output.stdout.is_empty(), "{arguments:?}: figures in spite of it");
+}
+
+#[test]
+fn senseless_sizes_end_in_one_line_before_anything_is_measured() {
+    assert_senseless(&["--endpoints", "0"], "0 endpoints");
+    assert_senseless(&["--endpoints", "8,0"], "0 endpoints");
+    assert_senseless(&["--base-endpoints", "0"], "0 endpoints");
+    assert_senseless(&["--pilots", "0"], "0 pilots");
+    assert_senseless(&["--proxies", "0"], "0 proxies");
+    assert_senseless(&["--base-classes", "0"], "0 classes");
+    assert_senseless(&["--base-zones", "0"], "0 zones");
+    assert_senseless(&["--rounds", "0"], "0 rounds");
+    assert_senseless(&["--repeats", "0"], "0 repeats");
+    assert_senseless(&["--crossing-price", "NaN"], "crossing price");
+    assert_senseless(&["--classes", "65"], "at most 64");
+    assert_senseless(&["--proxies", "65536"], "at most 65535");
+    assert_senseless(&["--base-endpoints", "3", "--zones", "4"], "4 zones for 3 endpoints");
+    assert_senseless(&["--endpoints", "4000000000"], "MB");
+    assert_senseless(&["--endpoints", "18446744073709551615"], "MB");
+}
+
+#[test]
+fn words_that_cannot_be_read_end_in_one_line() {
+    assert_senseless(&["--endpoints", "many"], "many");
+    assert_senseless(&["--endpoints", "-1"], "-1");
+    assert_senseless(&["--endpoints", "18446744073709551616"], "18446744073709551616");
+    assert_senseless(&["--colour"], "--colour");
+    assert_senseless(&["--vary", "moons"], "moons");
+    assert_senseless(&["--plot", "never-written.svg"], "--vary");
+}
+
+/// The figures of a small run, read back from its file.
+fn small_run(name: &str, seed: &str) -> Value {
+    let file = Temporary::new(name);
+    let output = module(&[&SMALL[..], &[file.path(), "--seed", seed]].concat());
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{error}");
+    let text = std::fs::read_to_string(&file.0).expect("a file of figures");
+    serde_json::from_str(&text).expect("valid JSON")
+}
+
+fn counts(figures: &Value) -> Vec<&Value> {
+    let points = figures["points"].as_array().expect("points");
+    points.iter().map(|point| &point["counts"]).collect()
+}
+
+#[test]
+fn a_seed_gives_the_same_counts_and_valid_json() {
+    let (first, again, other) = (small_run("first", "7"), small_run("again", "7"), small_run("other", "8"));
+    assert_eq!(counts(&first).len(), 2);
+    assert_eq!(counts(&first), counts(&again));
+    assert_ne!(counts(&first), counts(&other), "the seed changes nothing");
+    let point = &first["points"][1];
+    assert_eq!(point["size"]["endpoints"], 16);
+    // Ten rounds of a report from each endpoint, and from each of six proxies one a class.
+    assert_eq!(point["counts"]["endpoint_reports"], 10 * 16);
+    assert_eq!(point["counts"]["demand_reports"], 10 * 6 * 2);
+    assert_eq!(point["counts"]["bindings"], 6);
+    for figure in ["list_ms", "round_ms", "endpoint_reports_ms"] {
+        let at = |place: &str| point[figure][place].as_f64().expect("a figure");
+        assert!(0.0 < at("least") && at("least") <= at("median") && at("median") <= at("most"), "{figure}");
+    }
+    let (peak, held) = (point["peak_heap_mb"].as_f64().unwrap(), point["held_heap_mb"].as_f64().unwrap());
+    assert!(0.0 < held && held <= peak, "{held} held, {peak} at the peak");
+    assert!(first["machine"]["cores"].as_u64().unwrap() > 0);
+}
+
+#[test]
+fn the_part_of_the_endpoints_reports_is_within_the_round() {
+    let figures = small_run("parts", "1");
+    for point in figures["points"].as_array().expect("points") {
+        let least = |figure: &str| point[figure]["least"].as_f64().expect("a figure");
+        assert!(least("endpoint_reports_ms") < least("round_ms"), "{point}");
+    }
+}
+
+#[test]
+fn a_plot_is_a_whole_svg_that_names_its_curves_and_the_budget() {
+    let (plot, json) = (Temporary::new("plot.svg"), Temporary::new("plot.json"));
+    let output = module(&[&SMALL[..], &[json.path(), "--plot", plot.path()]].concat());
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let text = std::fs::read_to_string(&plot.0).expect("a picture");
+    let picture = roxmltree::Document::parse(&text).expect("well-formed XML");
+    assert_eq!(picture.root_element().tag_name().name(), "svg");
+    for name in ["whole list heard", "round of 1 s", "46 ms", "endpoints"] {
+        assert!(text.contains(name), "{name} is missing");
+    }
+}
