measure module: reports of several zones on an endpoint, the load average, and the new names

Cause: each zone's collector tells what its own proxies met, so an endpoint is reported on once by each zone that calls it; and processor time on a shared machine depends on its neighbours.

--- a/crates/measure/src/machine.rs
+++ b/crates/measure/src/machine.rs
@@ -11,6 +11,8 @@
     pub cores: usize,
     pub memory_mb: u64,
     pub available_mb: u64,
+    /// Threads that ran or waited for a core in the last minute, on the mean: neighbours slow each other down.
+    pub load_average: f64,
 }
 
 impl Machine {
@@ -23,6 +25,7 @@
             cores: processors.lines().filter(|line| line.starts_with("processor")).count(),
             memory_mb: megabytes(&memory, "MemTotal"),
             available_mb: megabytes(&memory, "MemAvailable"),
+            load_average: load_average(),
         }
     }
 }
@@ -34,6 +37,11 @@
     named.next().map(|(_, value)| value.trim())
 }
 
+fn load_average() -> f64 {
+    let text = read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().next().and_then(|minute| minute.parse().ok()).unwrap_or(0.0)
+}
+
 fn megabytes(text: &str, name: &str) -> u64 {
     let kilobytes = field(text, name).and_then(|value| value.split_whitespace().next()?.parse::<u64>().ok());
     kilobytes.unwrap_or(0) / 1024
--- a/crates/measure/src/module.rs
+++ b/crates/measure/src/module.rs
@@ -14,7 +14,7 @@
 use crate::allocator;
 use crate::machine::Machine;
 use crate::sizes::{SenselessSize, Size};
-use driver::{Counts, Driver, RoundTime};
+use driver::{Counts, Driver, Load, RoundTime};
 use figures::{Sample, Slope, Spread, slopes};
 
 type Res<T> = Result<T, Box<dyn Error>>;
@@ -88,6 +88,9 @@
     /// Points lost for each call that crosses zones; with 0 the module takes all zones for one
     #[arg(long, default_value_t = 0.1)]
     crossing_price: f64,
+    /// Zones whose proxies report on each endpoint, each second
+    #[arg(long, default_value_t = 1)]
+    reporting_zones: usize,
     /// Of capacities and of each second's calls
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -164,8 +167,7 @@
 #[derive(Serialize)]
 struct Figures {
     machine: Machine,
-    seed: u64,
-    crossing_price: f64,
+    load: Load,
     warm_up: usize,
     rounds: usize,
     repeats: usize,
@@ -184,6 +186,11 @@
         }
     }
 
+    fn load(&self) -> Load {
+        let Words { seed, crossing_price, reporting_zones, .. } = *self;
+        Load { seed, crossing_price, reporting_zones }
+    }
+
     fn values(&self, axis: Axis) -> &[usize] {
         match axis {
             Axis::Endpoints => &self.endpoints,
@@ -203,7 +210,9 @@
 
     /// Refuses what makes no sense before anything is measured.
     fn check(&self, machine: &Machine) -> Result<(), SenselessSize> {
-        for (name, count) in [("rounds", self.rounds), ("repeats", self.repeats)] {
+        for (name, count) in
+            [("rounds", self.rounds), ("repeats", self.repeats), ("reporting zones", self.reporting_zones)]
+        {
             if count == 0 {
                 return Err(SenselessSize(format!("0 {name}: at least 1 is needed")));
             }
@@ -214,8 +223,13 @@
         if self.plot.is_some() && self.vary.len() != 1 {
             return Err(SenselessSize("--plot draws one size: name it with --vary".to_owned()));
         }
-        let mut sizes = self.vary.iter().flat_map(|axis| self.sizes(*axis));
-        sizes.try_for_each(|size| size.check(machine))
+        let sizes: Vec<Size> = self.vary.iter().flat_map(|axis| self.sizes(*axis)).collect();
+        sizes.iter().try_for_each(|size| size.check(machine))?;
+        let fewest = sizes.iter().map(|size| size.zones).min().unwrap_or_default();
+        if self.reporting_zones > fewest {
+            return Err(SenselessSize(format!("{} reporting zones of {fewest} zones", self.reporting_zones)));
+        }
+        Ok(())
     }
 }
 
@@ -225,7 +239,7 @@
 
 /// One module's life: the list, the proxies, and its rounds.
 fn run(size: Size, words: &Words) -> Run {
-    let mut driver = Driver::new(size, words.crossing_price, words.seed);
+    let mut driver = Driver::new(size, words.load());
     let before = allocator::held_bytes();
     allocator::reset_peak();
     let list = driver.hear_list();
@@ -299,10 +313,14 @@
 }
 
 fn print_machine(machine: &Machine, words: &Words) {
-    let Machine { processor, cores, memory_mb, available_mb } = machine;
+    let Machine { processor, cores, memory_mb, available_mb, load_average } = machine;
     println!("{processor}, {cores} cores, {memory_mb} MB of memory, {available_mb} MB available");
-    let Words { seed, warm_up, rounds, repeats, pilots, crossing_price, .. } = words;
-    println!("{pilots} pilots, crossing price {crossing_price}, seed {seed}");
+    println!("load average of the machine {load_average}");
+    let Words { warm_up, rounds, repeats, pilots, .. } = words;
+    let Load { seed, crossing_price, reporting_zones } = words.load();
+    println!(
+        "{pilots} pilots, crossing price {crossing_price}, {reporting_zones} reporting zones, seed {seed}"
+    );
     println!("{repeats} runs of {rounds} rounds after {warm_up}, on one thread");
     println!("processor time in ms: median (least to most); heap memory in MB");
 }
@@ -357,8 +375,8 @@
         let title = format!("One decision module, {}", described(words));
         plot::draw(file, &title, &points)?;
     }
-    let Words { seed, crossing_price, warm_up, rounds, repeats, .. } = *words;
-    let figures = Figures { machine, seed, crossing_price, warm_up, rounds, repeats, points, growths };
+    let Words { warm_up, rounds, repeats, .. } = *words;
+    let figures = Figures { machine, load: words.load(), warm_up, rounds, repeats, points, growths };
     if let Some(file) = &words.json {
         std::fs::write(file, serde_json::to_string_pretty(&figures)?)?;
     }
@@ -368,6 +386,7 @@
 /// The sizes that are not varied, for a plot's title.
 fn described(words: &Words) -> String {
     let Size { endpoints, proxies, classes, zones, pilots } = words.base();
+    let Load { crossing_price, reporting_zones, .. } = words.load();
     let sizes = [
         (Axis::Endpoints, endpoints),
         (Axis::Proxies, proxies),
@@ -376,5 +395,8 @@
     ];
     let fixed = sizes.into_iter().filter(|(axis, _)| !words.vary.contains(axis));
     let fixed: Vec<String> = fixed.map(|(axis, size)| format!("{size} {}", axis.name())).collect();
-    format!("{}, {pilots} pilots, crossing price {}", fixed.join(", "), words.crossing_price)
+    format!(
+        "{}, {pilots} pilots, crossing price {crossing_price}, {reporting_zones} reporting zones",
+        fixed.join(", ")
+    )
 }
--- a/crates/measure/src/module/driver.rs
+++ b/crates/measure/src/module/driver.rs
@@ -30,6 +30,17 @@
 const ROUND: Duration = Duration::from_secs(1);
 const TICKS: u32 = 10;
 
+/// How the deployment is used, beside its size.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Load {
+    /// Of capacities and of each second's calls.
+    pub seed: u64,
+    /// Points lost for each call that crosses zones; with 0 the module takes all zones for one.
+    pub crossing_price: f64,
+    /// Zones whose proxies report on each endpoint, each second.
+    pub reporting_zones: usize,
+}
+
 /// What was heard and ordered: the same for the same seed and size, whatever the machine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
@@ -62,7 +73,7 @@
 #[derive(Clone, Copy)]
 struct Acknowledgement {
     proxy: ProxyId,
-    mark: u32,
+    nonce: u32,
 }
 
 /// One call of the module.
@@ -71,18 +82,20 @@
     Timer,
     Probe(EndpointId),
     Acknowledgement(Acknowledgement),
-    Endpoint { zone: ZoneId, endpoint: EndpointId, met: Met },
-    Demand { proxy: ProxyId, class: ClassId, came: Came },
+    Endpoint { zone: ZoneId, endpoint: EndpointId, report: EndpointReport },
+    Demand { proxy: ProxyId, class: ClassId, report: DemandReport },
 }
 
 impl Message {
     fn deliver(self, pilot: &mut Pilot, now: Duration) -> Orders {
         match self {
-            Message::Timer => pilot.woken(now),
-            Message::Probe(endpoint) => pilot.probed(now, endpoint, ProbeEnd::Answered),
-            Message::Acknowledgement(said) => pilot.confirmed(now, said.proxy, said.mark),
-            Message::Endpoint { zone, endpoint, met } => pilot.met(now, zone, endpoint, met),
-            Message::Demand { proxy, class, came } => pilot.came(now, proxy, class, came),
+            Message::Timer => pilot.on_timer(now),
+            Message::Probe(endpoint) => pilot.probe_finished(now, endpoint, ProbeOutcome::Answered),
+            Message::Acknowledgement(said) => pilot.acknowledged(now, said.proxy, said.nonce),
+            Message::Endpoint { zone, endpoint, report } => {
+                pilot.endpoint_report(now, zone, endpoint, report)
+            }
+            Message::Demand { proxy, class, report } => pilot.demand_report(now, proxy, class, report),
         }
     }
 }
@@ -90,10 +103,9 @@
 /// What the module is told comes from here; its orders are counted, and confirmed at once.
 pub struct Driver {
     size: Size,
-    /// Points lost for each call that crosses zones; with 0 the module takes all zones for one.
-    crossing_price: f64,
+    load: Load,
     random: ChaCha8Rng,
-    list: Vec<Listed>,
+    list: Vec<EndpointUpdate>,
     /// Calls a second that each endpoint can do.
     capacity: Vec<f64>,
     now: Duration,
@@ -104,29 +116,30 @@
     batch: Vec<Message>,
     owed: Vec<Acknowledgement>,
     /// The last that came with orders.
-    mark: u32,
+    nonce: u32,
     probes: Vec<EndpointId>,
     counts: Counts,
 }
 
 impl Driver {
     /// Lays out everything of its own, so that what is taken later is the module's.
-    pub fn new(size: Size, crossing_price: f64, seed: u64) -> Driver {
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
+    pub fn new(size: Size, load: Load) -> Driver {
+        let mut random = ChaCha8Rng::seed_from_u64(load.seed);
         let endpoints = 0..size.endpoints;
+        let reports = (size.endpoints * load.reporting_zones).max(size.proxies * size.classes);
         let capacity = endpoints.clone().map(|_| CAPACITY * random.random_range(CAPACITY_RANGE)).collect();
         Driver {
             size,
-            crossing_price,
+            load,
             random,
             list: endpoints.map(|place| listed(place, size.zones)).collect(),
             capacity,
             now: START,
             pilot: None,
             bound: Vec::new(),
-            batch: Vec::with_capacity(size.endpoints.max(size.proxies * size.classes)),
+            batch: Vec::with_capacity(reports),
             owed: Vec::with_capacity(size.proxies),
-            mark: 0,
+            nonce: 0,
             probes: Vec::new(),
             counts: Counts::default(),
         }
@@ -140,9 +153,9 @@
     /// A module starts and hears the whole list.
     pub fn hear_list(&mut self) -> Duration {
         let mut time = Duration::ZERO;
-        let pilot = self.pilot.insert(Pilot::new(deployment(&self.size, self.crossing_price)));
+        let pilot = self.pilot.insert(Pilot::new(deployment(&self.size, self.load.crossing_price)));
         let (now, list) = (self.now, &self.list);
-        let orders = timed(&mut time, || pilot.list(now, true, list));
+        let orders = timed(&mut time, || pilot.update_endpoints(now, true, list));
         self.carry_out(orders);
         time
     }
@@ -155,7 +168,7 @@
             let zone = ZoneId((proxy % self.size.zones) as u32);
             let (id, now) = (ProxyId(proxy as u32), self.now);
             let pilot = self.pilot.as_mut().expect("the list was heard");
-            let orders = timed(&mut time, || pilot.joined(now, id, zone, rate));
+            let orders = timed(&mut time, || pilot.proxy_joined(now, id, zone, rate));
             self.carry_out(orders);
             self.acknowledge(&mut time);
         }
@@ -188,15 +201,19 @@
         self.deliver_batch(time);
     }
 
+    /// The proxies of each reporting zone tell what they met: an endpoint's own zone first.
     fn report_endpoints(&mut self, time: &mut Duration) {
-        for (place, capacity) in self.capacity.iter().enumerate() {
-            let zone = ZoneId((place % self.size.zones) as u32);
+        let (zones, reporting) = (self.size.zones, self.load.reporting_zones);
+        for place in 0..self.size.endpoints {
             let endpoint = EndpointId(place as u32);
             let busy = LOAD * self.random.random_range(NOISE);
             let load = LoadReport { busy: Some(busy) };
-            let tries = capacity * busy;
-            let met = Met { tries, failed: 0.0, answer_time: ANSWER_TIME, span: ROUND, load };
-            self.batch.push(Message::Endpoint { zone, endpoint, met });
+            let tries = self.capacity[place] * busy / reporting as f64;
+            let report = EndpointReport { tries, failed: 0.0, answer_time: ANSWER_TIME, span: ROUND, load };
+            for step in 0..reporting {
+                let zone = ZoneId(((place + step) % zones) as u32);
+                self.batch.push(Message::Endpoint { zone, endpoint, report });
+            }
         }
         self.counts.endpoint_reports += self.batch.len();
         self.deliver_batch(time);
@@ -209,8 +226,8 @@
             for class in 0..self.size.classes {
                 let class = ClassId(class as u32);
                 let calls = rate * self.random.random_range(NOISE);
-                let came = Came { calls, span: ROUND };
-                self.batch.push(Message::Demand { proxy, class, came });
+                let report = DemandReport { calls, span: ROUND };
+                self.batch.push(Message::Demand { proxy, class, report });
             }
         }
         self.counts.demand_reports += self.batch.len();
@@ -245,7 +262,7 @@
         self.counts.bindings += orders.bindings.len();
         self.counts.probes += orders.probes.len();
         let mut tables: Vec<TableId> = orders.weights.iter().map(|(table, _, _)| *table).collect();
-        tables.extend(orders.levels.iter().map(|(table, ..)| *table));
+        tables.extend(orders.admissions.iter().map(|(table, ..)| *table));
         let mut reached = self.proxies_of(tables);
         for (proxy, table, _) in orders.bindings {
             self.bind(proxy, table);
@@ -254,10 +271,10 @@
         self.probes.extend(orders.probes);
         reached.sort_unstable();
         reached.dedup();
-        // Without a new mark, orders travel under that of the same moment.
-        self.mark = orders.mark.unwrap_or(self.mark);
-        let mark = self.mark;
-        self.owed.extend(reached.into_iter().map(|proxy| Acknowledgement { proxy, mark }));
+        // Without a new nonce, orders travel under that of the same moment.
+        self.nonce = orders.nonce.unwrap_or(self.nonce);
+        let nonce = self.nonce;
+        self.owed.extend(reached.into_iter().map(|proxy| Acknowledgement { proxy, nonce }));
     }
 
     fn proxies_of(&self, mut tables: Vec<TableId>) -> Vec<ProxyId> {
@@ -275,19 +292,19 @@
     }
 }
 
-fn listed(place: usize, zones: usize) -> Listed {
-    Listed {
+fn listed(place: usize, zones: usize) -> EndpointUpdate {
+    EndpointUpdate {
         endpoint: EndpointId(place as u32),
         zone: ZoneId((place % zones) as u32),
         kind: 0,
         weight: 1.0,
         started: None,
-        phase: Phase::Running,
+        state: EndpointState::Running,
     }
 }
 
-fn class(place: usize) -> ClassTerms {
-    ClassTerms { latency_goal: Duration::from_secs(1), value: 1.0 + place as f64, own_zone: false }
+fn class(place: usize) -> ClassSettings {
+    ClassSettings { latency_objective: Duration::from_secs(1), value: 1.0 + place as f64, own_zone: false }
 }
 
 fn deployment(size: &Size, crossing_price: f64) -> Deployment {
@@ -298,7 +315,7 @@
         homed: true,
         zones: size.zones,
         classes: (0..size.classes).map(class).collect(),
-        level_unit: LevelUnit::Share,
+        admission_unit: AdmissionUnit::Share,
         sliced: false,
         list_on_request: false,
         dropping_binds: true,
--- a/crates/measure/tests/module.rs
+++ b/crates/measure/tests/module.rs
@@ -70,6 +70,8 @@
     assert_senseless(&["--base-zones", "0"], "0 zones");
     assert_senseless(&["--rounds", "0"], "0 rounds");
     assert_senseless(&["--repeats", "0"], "0 repeats");
+    assert_senseless(&["--reporting-zones", "0"], "0 reporting zones");
+    assert_senseless(&["--reporting-zones", "5", "--zones", "4"], "5 reporting zones of 4");
     assert_senseless(&["--crossing-price", "NaN"], "crossing price");
     assert_senseless(&["--classes", "65"], "at most 64");
     assert_senseless(&["--proxies", "65536"], "at most 65535");
