--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 measure: build
 	cargo run --release --locked --package dahliaroad-measure -- registry
+	cargo run --release --locked --package dahliaroad-measure -- module
 
 fleet:
 	cargo run --release --locked --package dahliaroad-toyfleet -- $(CONFIG)
--- a/crates/measure/src/module.rs
+++ b/crates/measure/src/module.rs
@@ -265,8 +265,20 @@
     }
 }
 
-fn point(varied: Axis, size: Size, words: &Words) -> Res<Point> {
-    let runs: Vec<Run> = (0..words.repeats).map(|_| run(size, words)).collect();
+/// The points of an axis. Runs of a size are spread over the whole time, so that a neighbour on the machine that is
+/// busy for a while slows one run of each size and not all runs of one.
+fn points(varied: Axis, words: &Words) -> Res<Vec<Point>> {
+    let sizes = words.sizes(varied);
+    let mut runs: Vec<Vec<Run>> = sizes.iter().map(|_| Vec::new()).collect();
+    for _ in 0..words.repeats {
+        for (size, runs) in sizes.iter().zip(&mut runs) {
+            runs.push(run(*size, words));
+        }
+    }
+    sizes.into_iter().zip(runs).map(|(size, runs)| point(varied, size, &runs)).collect()
+}
+
+fn point(varied: Axis, size: Size, runs: &[Run]) -> Res<Point> {
     let counts = runs[0].counts.clone();
     if runs.iter().any(|run| run.counts != counts) {
         return Err(format!("{size:?}: runs of one seed gave different orders").into());
@@ -359,24 +371,21 @@
     let machine = Machine::read();
     words.check(&machine)?;
     print_machine(&machine, words);
-    let (mut points, mut growths) = (Vec::new(), Vec::new());
+    let (mut all, mut growths) = (Vec::new(), Vec::new());
     for &axis in &words.vary {
-        let first = points.len();
-        for size in words.sizes(axis) {
-            let point = point(axis, size, words)?;
-            print_point(&point);
-            points.push(point);
-        }
-        let growth = growth(axis, &points[first..]);
+        let points = points(axis, words)?;
+        points.iter().for_each(print_point);
+        let growth = growth(axis, &points);
         print_growth(&growth);
         growths.push(growth);
+        all.extend(points);
     }
     if let Some(file) = &words.plot {
         let title = format!("One decision module, {}", described(words));
-        plot::draw(file, &title, &points)?;
+        plot::draw(file, &title, &all)?;
     }
     let Words { warm_up, rounds, repeats, .. } = *words;
-    let figures = Figures { machine, load: words.load(), warm_up, rounds, repeats, points, growths };
+    let figures = Figures { machine, load: words.load(), warm_up, rounds, repeats, points: all, growths };
     if let Some(file) = &words.json {
         std::fs::write(file, serde_json::to_string_pretty(&figures)?)?;
     }
--- a/crates/measure/src/module/plot.rs
+++ b/crates/measure/src/module/plot.rs
@@ -54,7 +54,13 @@
     let budget = [(least_size, BUDGET_MS), (most_size, BUDGET_MS)];
     let budget = chart.draw_series(LineSeries::new(budget, BLACK))?;
     budget.label("46 ms: 4.6% of a core").legend(|at| key(at, BLACK));
-    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).label_font(FONT).draw()?;
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .border_style(BLACK)
+        .background_style(WHITE)
+        .label_font(FONT)
+        .draw()?;
     area.present()?;
     Ok(())
 }
