--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,51 +1,82 @@
 //! Measurements, kept out of the tests: each is one command, and prints its size beside its figures.
 
+mod allocator;
+mod machine;
+mod module;
 mod process;
 mod process_scale;
+mod processor;
 mod registry;
+mod sizes;
 
+use std::error::Error;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use tokio::task::LocalSet;
 
-/// Of what makes no sense to measure, as of a command line that cannot be read.
-const REFUSED: u8 = 2;
+use crate::sizes::SenselessSize;
+
+#[global_allocator]
+static ALLOCATOR: allocator::CountingAllocator = allocator::CountingAllocator;
+
+/// How the command ends when it was asked for something senseless.
+const SENSELESS: u8 = 2;
 
 #[derive(Parser)]
 #[command(
-    about = "Measures the pilot against stand-ins on loopback; build the program first, in release form"
+    about = "Measures the pilot against stand-ins on loopback, and its decision module alone; build in release form"
 )]
-struct Words {
+struct Arguments {
     #[command(subcommand)]
-    what: What,
+    measurement: Measurement,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Measurement {
     /// From a change in the registry to the order at the relay, and back to the truth after a break
     Registry(registry::Words),
+    /// Processor time and memory of the decision module alone, by one size at a time
+    Module(module::Words),
     /// What real pilot processes need in time, memory, processor time and bytes, by the length of the list
     Process(process_scale::Words),
 }
 
 fn main() -> ExitCode {
-    let words = Words::parse();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let measured = runtime.map_err(Into::into).and_then(|runtime| {
-        let measured = match words.what {
-            What::Registry(words) => LocalSet::new().block_on(&runtime, registry::measure(words)),
-            What::Process(words) => LocalSet::new().block_on(&runtime, process_scale::measure(words)),
-        };
-        runtime.shutdown_timeout(Duration::ZERO);
-        measured
-    });
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(error) if error.use_stderr() => return refuse(error),
+        Err(help) => help.exit(),
+    };
+    let measured = match arguments.measurement {
+        Measurement::Registry(options) => on_one_thread(registry::measure(options)),
+        Measurement::Module(options) => module::measure(&options),
+        Measurement::Process(options) => on_one_thread(process_scale::measure(options)),
+    };
     match measured {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dahliaroad-measure: {error}");
-            if error.is::<process_scale::Refused>() { ExitCode::from(REFUSED) } else { ExitCode::FAILURE }
+            if error.is::<SenselessSize>() { ExitCode::from(SENSELESS) } else { ExitCode::FAILURE }
         }
     }
 }
+
+/// Arguments that cannot be read are told of in one line, as senseless sizes are.
+fn refuse(error: clap::Error) -> ExitCode {
+    let text = error.to_string();
+    let line = text.lines().next().unwrap_or_default();
+    eprintln!("dahliaroad-measure: {}", line.trim_start_matches("error: "));
+    ExitCode::from(SENSELESS)
+}
+
+/// Runs what speaks to peers; their tasks end with it.
+fn on_one_thread(
+    measurement: impl Future<Output = Result<(), Box<dyn Error>>>,
+) -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let measured = LocalSet::new().block_on(&runtime, measurement);
+    runtime.shutdown_timeout(Duration::ZERO);
+    measured
+}
--- a/crates/measure/src/process_scale/plan.rs
+++ b/crates/measure/src/process_scale/plan.rs
@@ -1,12 +1,13 @@
 //! What is measured, as asked for on the command line; what makes no sense is refused before anything is started.
 
-use std::error::Error;
 use std::fmt;
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 
 use clap::Args;
 
+use crate::sizes::SenselessSize;
+
 /// A few dozen: each is a process of its own on this machine.
 const PROCESSES: RangeInclusive<u32> = 1..=48;
 /// A pilot reads a list of at most 8 MiB.
@@ -61,27 +62,15 @@
     pub json: Option<PathBuf>,
 }
 
-/// Why nothing was measured.
-#[derive(Debug)]
-pub struct Refused(String);
-
-impl fmt::Display for Refused {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl Error for Refused {}
-
 fn within<T: PartialOrd + fmt::Display>(
     name: &str,
     value: T,
     range: RangeInclusive<T>,
-) -> Result<(), Refused> {
+) -> Result<(), SenselessSize> {
     if range.contains(&value) {
         return Ok(());
     }
-    Err(Refused(format!("--{name} {value} is not within {} and {}", range.start(), range.end())))
+    Err(SenselessSize(format!("--{name} {value} is not within {} and {}", range.start(), range.end())))
 }
 
 impl Words {
@@ -90,11 +79,11 @@
         self.balancers.unwrap_or(self.processes)
     }
 
-    pub fn check(&self) -> Result<(), Refused> {
+    pub fn check(&self) -> Result<(), SenselessSize> {
         within("processes", self.processes, PROCESSES)?;
         within("balancers", self.balancers(), 1..=u32::MAX)?;
         if u64::from(self.me) + u64::from(self.processes) > u64::from(self.balancers()) {
-            return Err(Refused(format!(
+            return Err(SenselessSize(format!(
                 "--me {}: with {} processes, past the last of {} pilots",
                 self.me,
                 self.processes,
@@ -102,13 +91,13 @@
             )));
         }
         if self.endpoints.is_empty() {
-            return Err(Refused("--endpoints names no size".to_owned()));
+            return Err(SenselessSize("--endpoints names no size".to_owned()));
         }
         for endpoints in &self.endpoints {
             within("endpoints", *endpoints, ENDPOINTS)?;
             let entries = endpoints * self.processes as usize;
             if entries > MOST_ENTRIES {
-                return Err(Refused(format!(
+                return Err(SenselessSize(format!(
                     "{entries} entries in all processes are more than {MOST_ENTRIES}"
                 )));
             }
@@ -119,7 +108,7 @@
         within("seconds", self.seconds, SECONDS)?;
         within("runs", self.runs, RUNS)?;
         match self.program.iter().find(|program| !program.is_file()) {
-            Some(missing) => Err(Refused(format!("--program {}: no such file", missing.display()))),
+            Some(missing) => Err(SenselessSize(format!("--program {}: no such file", missing.display()))),
             None => Ok(()),
         }
     }
