measure: a counting global allocator, the first part of memory measurements

Cause: the next measurements are to print peak heap memory, and /proc counts only what the system has lent, at page granularity and for the whole life of the process. Change: the measure binary's allocator counts requested bytes held and their peak, which can be begun anew. Nothing reads it yet; no figure is claimed.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,5 +1,8 @@
 //! Measurements, kept out of the tests: each is one command, and prints its size beside its figures.
 
+// Not read yet: the sub-commands that print memory come with the next commits.
+#[allow(dead_code)]
+mod allocator;
 mod process;
 mod registry;
 
@@ -9,6 +12,9 @@
 use clap::{Parser, Subcommand};
 use tokio::task::LocalSet;
 
+#[global_allocator]
+static ALLOCATOR: allocator::CountingAllocator = allocator::CountingAllocator;
+
 #[derive(Parser)]
 #[command(
     about = "Measures the pilot against stand-ins on loopback; build the program first, in release form"
