measure: many pilots without sockets in one process, before modelled peers

What a pilot costs before a large fleet could only be measured one process at a time. The sub-command hollow runs the membership, the table of numbers and the decision module of many pilots on a virtual clock, fed by a model of discovery, collectors and relay, in five scenarios, and prints processor time, heap, bytes, the time from a change to its order and the pilots of each endpoint. Services are independent, so only those under way take memory.

--- /dev/null
+++ b/crates/measure/src/hollow/controller.rs
@@ -0,0 +1,127 @@
+//! The program's membership, table of numbers and decision module, and the calls that are made of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dahliaroad::Pilot;
+use dahliaroad::interface::{
+    Came, Deployment, EndpointId, LoadReport, Met, Orders, ProbeEnd, ProxyId, ZoneId,
+};
+use dahliaroad_fleet::{
+    Bounds, Entry, Epoch, Fleet, Life, Revision, SourceId, SourceTerms, Standing, Told, What, Word,
+};
+use dahliaroad_host::{Roster, Seat};
+
+use super::reports::{DemandSums, EndpointSums, REPORT_SPAN};
+use super::world::{EndpointIndex, ListedEndpoint, ListedState};
+
+/// An endpoint of discovery's list, by its name.
+pub type NamedEntry = (Arc<str>, ListedEndpoint);
+
+/// A call that a peer's task would make.
+pub enum Input {
+    List { whole: bool, revision: u64, entries: Vec<NamedEntry> },
+    ProxyJoined { proxy: ProxyId, zone: usize, rate: f64 },
+    ProxyLeft(ProxyId),
+    EndpointReport { name: Arc<str>, sums: EndpointSums },
+    DemandReport(DemandSums),
+    Acknowledged { proxy: ProxyId, mark: u32 },
+    ProbeFinished { endpoint: EndpointId, incarnation: u64, outcome: ProbeEnd },
+    Timer,
+}
+
+/// The part of the program that a hollow pilot has, with discovery as its only source.
+pub struct Controller {
+    seat: Seat,
+    discovery: SourceId,
+}
+
+impl Controller {
+    pub fn new(deployment: &Deployment) -> Controller {
+        let mut fleet = Fleet::new(Bounds::default());
+        let discovery = fleet.add(SourceTerms::direct("discovery"));
+        Controller { seat: Seat::new(Pilot::new(deployment.clone()), fleet), discovery }
+    }
+
+    pub fn names(&self) -> &Roster {
+        &self.seat.roster
+    }
+
+    pub fn apply(&mut self, now: Duration, input: Input) -> Orders {
+        let seat = &mut self.seat;
+        match input {
+            Input::List { whole, revision, entries } => {
+                let message = source_message(whole, Revision(revision), &entries);
+                seat.hear(now, self.discovery, message).1
+            }
+            Input::ProxyJoined { proxy, zone, rate } => {
+                seat.pilot.joined(now, proxy, ZoneId(zone as u32), rate)
+            }
+            Input::ProxyLeft(proxy) => seat.pilot.left(now, proxy),
+            Input::EndpointReport { name, sums } => match seat.roster.find(&name) {
+                Some(endpoint) => {
+                    let zone = ZoneId(sums.zone as u32);
+                    seat.pilot.met(now, zone, endpoint, endpoint_report(&sums))
+                }
+                None => Orders::default(),
+            },
+            Input::DemandReport(sums) => {
+                let report = Came { calls: sums.calls, span: REPORT_SPAN };
+                seat.pilot.came(now, sums.proxy, sums.class, report)
+            }
+            Input::Acknowledged { proxy, mark } => seat.pilot.confirmed(now, proxy, mark),
+            Input::ProbeFinished { endpoint, incarnation, outcome } => {
+                seat.probed(now, endpoint, incarnation, outcome)
+            }
+            Input::Timer => seat.pilot.woken(now),
+        }
+    }
+
+    /// The last call of a turn: what is due of what sources said.
+    pub fn apply_due(&mut self, now: Duration) -> Orders {
+        self.seat.hand_over(now)
+    }
+}
+
+fn endpoint_report(sums: &EndpointSums) -> Met {
+    Met {
+        tries: sums.tries,
+        failed: sums.failed,
+        answer_time: Duration::from_secs_f64(sums.answer_ms / 1000.0),
+        span: REPORT_SPAN,
+        load: LoadReport { busy: sums.busy },
+    }
+}
+
+fn source_message(whole: bool, revision: Revision, entries: &[NamedEntry]) -> Word {
+    let epoch = Epoch(1);
+    let entries = entries.iter().map(|(name, entry)| told(revision, name, entry)).collect();
+    match whole {
+        true => Word::Whole { epoch, revision, entries },
+        false => Word::Changes { epoch, after: revision, revision, entries },
+    }
+}
+
+fn told(revision: Revision, name: &str, entry: &ListedEndpoint) -> Told {
+    let listed = Entry {
+        life: Life { started: entry.started, created: Revision(0) },
+        dial: Some(address(entry.index)),
+        zone: ZoneId(entry.zone as u32),
+        kind: 0,
+        weight: entry.weight,
+        standing: match entry.state {
+            ListedState::Draining => Standing::Draining,
+            ListedState::Running | ListedState::Gone => Standing::Running,
+        },
+    };
+    let what = if entry.state == ListedState::Gone { What::Gone } else { What::Listed(listed) };
+    // A name of its own, as the program makes one of what it reads.
+    Told { name: Arc::from(name), at: revision, what }
+}
+
+/// An address of the endpoint's own, as the list has one for each.
+fn address(index: EndpointIndex) -> SocketAddr {
+    let [_, second, third, fourth] = (index as u32).to_be_bytes();
+    SocketAddr::from(([10, second, third, fourth], 9000))
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,8 +1,7 @@
 //! Measurements, kept out of the tests: each is one command, and prints its size beside its figures.
 
-// Not read yet: the sub-commands that print memory come with the next commits.
-#[allow(dead_code)]
 mod allocator;
+mod hollow;
 mod process;
 mod registry;
 
@@ -28,14 +27,20 @@
 enum What {
     /// From a change in the registry to the order at the relay, and back to the truth after a break
     Registry(registry::Words),
+    /// Many pilots without sockets in one process: what each costs, and how soon it follows changes
+    Hollow(hollow::Arguments),
 }
 
 fn main() -> ExitCode {
     let words = Words::parse();
+    if let What::Hollow(arguments) = words.what {
+        return hollow::measure(arguments);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let measured = runtime.map_err(Into::into).and_then(|runtime| {
         let measured = match words.what {
             What::Registry(words) => LocalSet::new().block_on(&runtime, registry::measure(words)),
+            What::Hollow(_) => unreachable!("measured without a runtime"),
         };
         runtime.shutdown_timeout(Duration::ZERO);
         measured
