--- a/crates/measure/src/hollow/deployment.rs
+++ b/crates/measure/src/hollow/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dahliaroad::interface::{ClassTerms, Deployment, LevelUnit};
+use dahliaroad::interface::{AdmissionUnit, ClassSettings, Deployment};
 
 use super::arguments::Settings;
 use super::sizes::Service;
@@ -16,8 +16,8 @@
 /// How long a proxy may have no endpoint to pick.
 pub const UNSERVED_GRACE: Duration = Duration::from_millis(1800);
 
-fn class(latency_goal_ms: u64, value: f64) -> ClassTerms {
-    ClassTerms { latency_goal: Duration::from_millis(latency_goal_ms), value, own_zone: false }
+fn class(latency_objective_ms: u64, value: f64) -> ClassSettings {
+    ClassSettings { latency_objective: Duration::from_millis(latency_objective_ms), value, own_zone: false }
 }
 
 /// What one pilot of a service is told at its start.
@@ -29,7 +29,7 @@
         homed: true,
         zones: service.zones.len(),
         classes: vec![class(2000, 1.0), class(1200, 2.0)],
-        level_unit: LevelUnit::CallsPerSecond,
+        admission_unit: AdmissionUnit::CallsPerSecond,
         sliced: false,
         list_on_request: false,
         dropping_binds: true,
--- a/crates/measure/src/hollow/events.rs
+++ b/crates/measure/src/hollow/events.rs
@@ -18,7 +18,7 @@
     Leave(usize),
     Acknowledge {
         proxies: Vec<usize>,
-        mark: u32,
+        nonce: u32,
     },
     ProbeFinished {
         endpoint: EndpointId,
--- a/crates/measure/src/hollow/controller.rs
+++ b/crates/measure/src/hollow/hollow_controller.rs
@@ -6,12 +6,12 @@
 
 use dahliaroad::Pilot;
 use dahliaroad::interface::{
-    Came, Deployment, EndpointId, LoadReport, Met, Orders, ProbeEnd, ProxyId, ZoneId,
+    DemandReport, Deployment, EndpointId, EndpointReport, LoadReport, Orders, ProbeOutcome, ProxyId, ZoneId,
 };
 use dahliaroad_fleet::{
     Bounds, Entry, Epoch, Fleet, Life, Revision, SourceId, SourceTerms, Standing, Told, What, Word,
 };
-use dahliaroad_host::{Roster, Seat};
+use dahliaroad_host::{Controller, EndpointIds};
 
 use super::reports::{DemandSums, EndpointSums, REPORT_SPAN};
 use super::world::{EndpointIndex, ListedEndpoint, ListedState};
@@ -26,66 +26,66 @@
     ProxyLeft(ProxyId),
     EndpointReport { name: Arc<str>, sums: EndpointSums },
     DemandReport(DemandSums),
-    Acknowledged { proxy: ProxyId, mark: u32 },
-    ProbeFinished { endpoint: EndpointId, incarnation: u64, outcome: ProbeEnd },
+    Acknowledged { proxy: ProxyId, nonce: u32 },
+    ProbeFinished { endpoint: EndpointId, incarnation: u64, outcome: ProbeOutcome },
     Timer,
 }
 
 /// The part of the program that a hollow pilot has, with discovery as its only source.
-pub struct Controller {
-    seat: Seat,
+pub struct HollowController {
+    controller: Controller,
     discovery: SourceId,
 }
 
-impl Controller {
-    pub fn new(deployment: &Deployment) -> Controller {
+impl HollowController {
+    pub fn new(deployment: &Deployment) -> HollowController {
         let mut fleet = Fleet::new(Bounds::default());
         let discovery = fleet.add(SourceTerms::direct("discovery"));
-        Controller { seat: Seat::new(Pilot::new(deployment.clone()), fleet), discovery }
+        HollowController { controller: Controller::new(Pilot::new(deployment.clone()), fleet), discovery }
     }
 
-    pub fn names(&self) -> &Roster {
-        &self.seat.roster
+    pub fn names(&self) -> &EndpointIds {
+        &self.controller.endpoint_ids
     }
 
     pub fn apply(&mut self, now: Duration, input: Input) -> Orders {
-        let seat = &mut self.seat;
+        let controller = &mut self.controller;
         match input {
             Input::List { whole, revision, entries } => {
                 let message = source_message(whole, Revision(revision), &entries);
-                seat.hear(now, self.discovery, message).1
+                controller.apply(now, self.discovery, message).1
             }
             Input::ProxyJoined { proxy, zone, rate } => {
-                seat.pilot.joined(now, proxy, ZoneId(zone as u32), rate)
+                controller.pilot.proxy_joined(now, proxy, ZoneId(zone as u32), rate)
             }
-            Input::ProxyLeft(proxy) => seat.pilot.left(now, proxy),
-            Input::EndpointReport { name, sums } => match seat.roster.find(&name) {
+            Input::ProxyLeft(proxy) => controller.pilot.proxy_left(now, proxy),
+            Input::EndpointReport { name, sums } => match controller.endpoint_ids.find(&name) {
                 Some(endpoint) => {
                     let zone = ZoneId(sums.zone as u32);
-                    seat.pilot.met(now, zone, endpoint, endpoint_report(&sums))
+                    controller.pilot.endpoint_report(now, zone, endpoint, endpoint_report(&sums))
                 }
                 None => Orders::default(),
             },
             Input::DemandReport(sums) => {
-                let report = Came { calls: sums.calls, span: REPORT_SPAN };
-                seat.pilot.came(now, sums.proxy, sums.class, report)
+                let report = DemandReport { calls: sums.calls, span: REPORT_SPAN };
+                controller.pilot.demand_report(now, sums.proxy, sums.class, report)
             }
-            Input::Acknowledged { proxy, mark } => seat.pilot.confirmed(now, proxy, mark),
+            Input::Acknowledged { proxy, nonce } => controller.pilot.acknowledged(now, proxy, nonce),
             Input::ProbeFinished { endpoint, incarnation, outcome } => {
-                seat.probed(now, endpoint, incarnation, outcome)
+                controller.probe_finished(now, endpoint, incarnation, outcome)
             }
-            Input::Timer => seat.pilot.woken(now),
+            Input::Timer => controller.pilot.on_timer(now),
         }
     }
 
     /// The last call of a turn: what is due of what sources said.
     pub fn apply_due(&mut self, now: Duration) -> Orders {
-        self.seat.hand_over(now)
+        self.controller.apply_due(now)
     }
 }
 
-fn endpoint_report(sums: &EndpointSums) -> Met {
-    Met {
+fn endpoint_report(sums: &EndpointSums) -> EndpointReport {
+    EndpointReport {
         tries: sums.tries,
         failed: sums.failed,
         answer_time: Duration::from_secs_f64(sums.answer_ms / 1000.0),
--- a/crates/measure/src/hollow/mod.rs
+++ b/crates/measure/src/hollow/mod.rs
@@ -6,9 +6,9 @@
 
 mod arguments;
 mod capacity;
-mod controller;
 mod deployment;
 mod events;
+mod hollow_controller;
 mod machine;
 mod pilot;
 mod reactions;
--- a/crates/measure/src/hollow/pilot.rs
+++ b/crates/measure/src/hollow/pilot.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use dahliaroad::interface::{Deployment, EndpointId, Orders, ProbeEnd, ProxyId};
+use dahliaroad::interface::{Deployment, EndpointId, Orders, ProbeOutcome, ProxyId};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::allocator::held_bytes;
 
-use super::controller::{Controller, Input, NamedEntry};
 use super::deployment::{CLASSES, UNSERVED_GRACE, WARM_UP};
 use super::events::{Event, EventQueue};
+use super::hollow_controller::{HollowController, Input, NamedEntry};
 use super::machine::thread_processor_time;
 use super::reactions::{Reaction, ReactionKind, Reactions};
 use super::relay::{Carried, Proxy, Relay};
@@ -75,7 +75,7 @@
 /// One pilot and all that arrives at it.
 pub struct HollowPilot {
     deployment: Deployment,
-    controller: Controller,
+    controller: HollowController,
     zone: usize,
     pub relay: Relay,
     /// Nothing arrives: its zone is lost.
@@ -108,7 +108,7 @@
         chance: ChaCha8Rng,
     ) -> HollowPilot {
         let mut pilot = HollowPilot {
-            controller: Controller::new(&deployment),
+            controller: HollowController::new(&deployment),
             deployment,
             zone,
             relay: Relay::new(proxies),
@@ -208,7 +208,7 @@
 
     /// The process ends and another one begins; proxies keep the tables that they hold.
     pub fn restart(&mut self, at: Duration) {
-        self.controller = Controller::new(&self.deployment);
+        self.controller = HollowController::new(&self.deployment);
         self.relay.begin_generation();
         self.events.keep_reports();
         self.reactions.clear();
@@ -291,7 +291,7 @@
                 self.usage.bytes_in += wire::bye_news(number);
                 inputs.push(Input::ProxyLeft(ProxyId(number)));
             }
-            Event::Acknowledge { proxies, mark } => self.take_acknowledgements(&proxies, mark, inputs),
+            Event::Acknowledge { proxies, nonce } => self.take_acknowledgements(&proxies, nonce, inputs),
             Event::ProbeFinished { endpoint, incarnation, index } => {
                 let outcome = probe_outcome(surroundings.world, self.zone, index);
                 inputs.push(Input::ProbeFinished { endpoint, incarnation, outcome });
@@ -353,12 +353,12 @@
         inputs.push(Input::ProxyJoined { proxy: number, zone, rate });
     }
 
-    fn take_acknowledgements(&mut self, places: &[usize], mark: u32, inputs: &mut Vec<Input>) {
+    fn take_acknowledgements(&mut self, places: &[usize], nonce: u32, inputs: &mut Vec<Input>) {
         for &place in places {
             let proxy = &self.relay.proxies[place];
             if proxy.joined_at.is_some() {
-                self.usage.bytes_in += wire::ack_news(proxy.number, mark);
-                inputs.push(Input::Acknowledged { proxy: ProxyId(proxy.number), mark });
+                self.usage.bytes_in += wire::ack_news(proxy.number, nonce);
+                inputs.push(Input::Acknowledged { proxy: ProxyId(proxy.number), nonce });
             }
         }
     }
@@ -394,10 +394,10 @@
 
     /// Hands the orders of one turn to the relay, and schedules what comes back.
     fn carry_out(&mut self, now: Duration, all: &[Orders], world: &World) {
-        let (mut carried, mut mark) = (Carried::default(), None);
+        let (mut carried, mut nonce) = (Carried::default(), None);
         for orders in all {
             self.relay.carry_out(orders, self.controller.names(), world, &mut carried);
-            mark = orders.mark.or(mark);
+            nonce = orders.nonce.or(nonce);
             self.wake_at = orders.wake_after.map_or(self.wake_at, |after| now + after);
             orders.probes.iter().for_each(|endpoint| self.send_probe(now, *endpoint, world));
         }
@@ -406,9 +406,9 @@
         self.usage.bytes_out += carried.bytes.bytes_out();
         self.usage.bytes_in += carried.bytes.bytes_in();
         self.reactions.note_orders(now, self.usage.processor, &carried, &self.relay);
-        if let Some(mark) = mark {
+        if let Some(nonce) = nonce {
             let proxies = carried.reached.into_iter().collect();
-            self.events.schedule(now + ACKNOWLEDGE_DELAY, Event::Acknowledge { proxies, mark });
+            self.events.schedule(now + ACKNOWLEDGE_DELAY, Event::Acknowledge { proxies, nonce });
         }
     }
 
@@ -466,13 +466,13 @@
     }
 }
 
-fn probe_outcome(world: &World, from_zone: usize, index: EndpointIndex) -> ProbeEnd {
+fn probe_outcome(world: &World, from_zone: usize, index: EndpointIndex) -> ProbeOutcome {
     if !world.answers(from_zone, index) {
-        return ProbeEnd::Failed;
+        return ProbeOutcome::Failed;
     }
     match world.endpoints[index].listed {
-        ListedState::Running => ProbeEnd::Answered,
-        ListedState::Draining | ListedState::Gone => ProbeEnd::TurnedAway,
+        ListedState::Running => ProbeOutcome::Answered,
+        ListedState::Draining | ListedState::Gone => ProbeOutcome::TurnedAway,
     }
 }
 
--- a/crates/measure/src/hollow/relay.rs
+++ b/crates/measure/src/hollow/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::Orders;
-use dahliaroad_host::Roster;
+use dahliaroad_host::EndpointIds;
 
 use super::wire::CallBytes;
 use super::world::{EndpointIndex, World};
@@ -112,7 +112,7 @@
     }
 
     /// Applies orders to the tables, and adds what they changed to `carried`.
-    pub fn carry_out(&mut self, orders: &Orders, names: &Roster, world: &World, carried: &mut Carried) {
+    pub fn carry_out(&mut self, orders: &Orders, names: &EndpointIds, world: &World, carried: &mut Carried) {
         let mut touched = BTreeSet::new();
         for &(table, endpoint, weight) in &orders.weights {
             let name = names.name(endpoint);
@@ -128,7 +128,7 @@
             }
             touched.insert(table.0);
         }
-        for &(table, _, level, _) in &orders.levels {
+        for &(table, _, level, _) in &orders.admissions {
             carried.bytes.add_admission(table.0, level);
             touched.insert(table.0);
         }
@@ -139,6 +139,6 @@
             self.proxies[place].bound = Some(Binding { generation: self.generation, table: table.0 });
             carried.reached.insert(place);
         }
-        carried.orders += orders.weights.len() + orders.levels.len() + orders.bindings.len();
+        carried.orders += orders.weights.len() + orders.admissions.len() + orders.bindings.len();
     }
 }
