--- a/crates/measure/src/hollow/hollow_controller.rs
+++ b/crates/measure/src/hollow/hollow_controller.rs
@@ -9,7 +9,8 @@
     DemandReport, Deployment, EndpointId, EndpointReport, LoadReport, Orders, ProbeOutcome, ProxyId, ZoneId,
 };
 use dahliaroad_fleet::{
-    Bounds, Entry, Epoch, Fleet, Life, Revision, SourceId, SourceTerms, Standing, Told, What, Word,
+    Bounds, Entry, EntryState, EntryUpdate, Epoch, Fleet, Incarnation, Revision, ServingState, SourceId,
+    SourceMessage, SourceTerms,
 };
 use dahliaroad_host::{Controller, EndpointIds};
 
@@ -94,30 +95,30 @@
     }
 }
 
-fn source_message(whole: bool, revision: Revision, entries: &[NamedEntry]) -> Word {
+fn source_message(whole: bool, revision: Revision, entries: &[NamedEntry]) -> SourceMessage {
     let epoch = Epoch(1);
-    let entries = entries.iter().map(|(name, entry)| told(revision, name, entry)).collect();
+    let entries = entries.iter().map(|(name, entry)| entry_update(revision, name, entry)).collect();
     match whole {
-        true => Word::Whole { epoch, revision, entries },
-        false => Word::Changes { epoch, after: revision, revision, entries },
+        true => SourceMessage::Whole { epoch, revision, entries },
+        false => SourceMessage::Changes { epoch, after: revision, revision, entries },
     }
 }
 
-fn told(revision: Revision, name: &str, entry: &ListedEndpoint) -> Told {
+fn entry_update(revision: Revision, name: &str, entry: &ListedEndpoint) -> EntryUpdate {
     let listed = Entry {
-        life: Life { started: entry.started, created: Revision(0) },
+        incarnation: Incarnation { started: entry.started, created: Revision(0) },
         dial: Some(address(entry.index)),
         zone: ZoneId(entry.zone as u32),
         kind: 0,
         weight: entry.weight,
         standing: match entry.state {
-            ListedState::Draining => Standing::Draining,
-            ListedState::Running | ListedState::Gone => Standing::Running,
+            ListedState::Draining => ServingState::Draining,
+            ListedState::Running | ListedState::Gone => ServingState::Running,
         },
     };
-    let what = if entry.state == ListedState::Gone { What::Gone } else { What::Listed(listed) };
+    let state = if entry.state == ListedState::Gone { EntryState::Gone } else { EntryState::Listed(listed) };
     // A name of its own, as the program makes one of what it reads.
-    Told { name: Arc::from(name), at: revision, what }
+    EntryUpdate { name: Arc::from(name), at: revision, state }
 }
 
 /// An address of the endpoint's own, as the list has one for each.
