--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 mod allocator;
 mod hollow;
 mod process;
+mod process_scale;
 mod registry;
 
 use std::process::ExitCode;
@@ -14,6 +15,9 @@
 #[global_allocator]
 static ALLOCATOR: allocator::CountingAllocator = allocator::CountingAllocator;
 
+/// Of what makes no sense to measure, as of a command line that cannot be read.
+const REFUSED: u8 = 2;
+
 #[derive(Parser)]
 #[command(
     about = "Measures the pilot against stand-ins on loopback; build the program first, in release form"
@@ -29,6 +33,8 @@
     Registry(registry::Words),
     /// Many pilots without sockets in one process: what each costs, and how soon it follows changes
     Hollow(hollow::Arguments),
+    /// What real pilot processes need in time, memory, processor time and bytes, by the length of the list
+    Process(process_scale::Words),
 }
 
 fn main() -> ExitCode {
@@ -41,6 +47,7 @@
         let measured = match words.what {
             What::Registry(words) => LocalSet::new().block_on(&runtime, registry::measure(words)),
             What::Hollow(_) => unreachable!("measured without a runtime"),
+            What::Process(words) => LocalSet::new().block_on(&runtime, process_scale::measure(words)),
         };
         runtime.shutdown_timeout(Duration::ZERO);
         measured
@@ -49,7 +56,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dahliaroad-measure: {error}");
-            ExitCode::FAILURE
+            if error.is::<process_scale::Refused>() { ExitCode::from(REFUSED) } else { ExitCode::FAILURE }
         }
     }
 }
