--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements, kept out of the tests: each is one command, and prints its size beside its figures.
 
 mod allocator;
+mod hollow;
 mod machine;
 mod module;
 mod process;
@@ -39,6 +40,8 @@
     Registry(registry::Words),
     /// Processor time and memory of the decision module alone, by one size at a time
     Module(module::Words),
+    /// Many pilots without sockets in one process: what each costs, and how soon it follows changes
+    Hollow(hollow::Arguments),
     /// What real pilot processes need in time, memory, processor time and bytes, by the length of the list
     Process(process_scale::Words),
 }
@@ -52,6 +55,7 @@
     let measured = match arguments.measurement {
         Measurement::Registry(options) => on_one_thread(registry::measure(options)),
         Measurement::Module(options) => module::measure(&options),
+        Measurement::Hollow(options) => return hollow::measure(options),
         Measurement::Process(options) => on_one_thread(process_scale::measure(options)),
     };
     match measured {
