Ramping endpoints bear all second tries of their tables, or leave them

Cause: step_table takes drained lines out at once, and ease() counts second tries by failed_part, which sums tell 1 to 2 s later (policy.rs, ease and swell: `part * failed_part(e) / (1 - part)`). In between, a steady line left with most of a table jams, and all its second tries come to the lines beside it, however small these are: the weights that ease() scales down do not lower them.

Change: a ramping endpoint has to bear all second tries of its tables should all other lines fail, up to the module's 0.7 of the fall multiple times its estimate; else it leaves the tables that can swell a line past the fall multiple. Only first tries that are let in and borne out by the tries made count. No new constant. Swelling moves to arithmetic.rs.

--- a/src/arithmetic.rs
+++ b/src/arithmetic.rs
@@ -28,6 +28,28 @@
     None
 }
 
+/// By how much second tries may swell a line of a table: what fails at a line goes on by weight to the others.
+pub fn swell(weights: &[f64], failed_part: impl Fn(usize) -> f64) -> f64 {
+    let parts = parts_of(weights).enumerate();
+    1.0 + parts.map(|(line, part)| failed_part(line) * passed_on(part)).sum::<f64>()
+}
+
+/// What each line of a table gets of its calls, second tries included, if all its other lines fail.
+pub fn worst_parts(weights: &[f64]) -> Vec<f64> {
+    let most = swell(weights, |_| 1.0);
+    parts_of(weights).map(|part| part * (most - passed_on(part))).collect()
+}
+
+fn parts_of(weights: &[f64]) -> impl Iterator<Item = f64> {
+    let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    weights.iter().map(move |weight| weight / sum)
+}
+
+/// The calls of a line with this part of a table, over what the others have of the rest: 0 if there is no other.
+fn passed_on(part: f64) -> f64 {
+    if part < 1.0 { part / (1.0 - part) } else { 0.0 }
+}
+
 /// The value that a quarter of all lie under; 0 if there are none.
 pub fn lower_quarter(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::arithmetic::{
-    fit_margins, lower_quarter, on_simplex, relative_change, water_level, weighted_mean,
+    fit_margins, lower_quarter, on_simplex, relative_change, swell, water_level, weighted_mean, worst_parts,
 };
 use crate::interface::*;
 use crate::state::{Fleet, Group, Pilot, Proxy, Rule, Split, Table};
@@ -602,23 +602,42 @@
     /// weights as they are: under overload, in a cut or in a thin table its share would push it over.
     fn ease(&mut self, flows: &[f64], ramping: &[bool]) {
         let demand = self.proxies.values().flat_map(|proxy| proxy.rates.iter().zip(&self.levels));
-        let tries = self.state.tries.max(demand.map(|(rate, level)| rate * level).sum());
+        let let_in: f64 = demand.map(|(rate, level)| rate * level).sum();
+        let tries = self.state.tries.max(let_in).max(f64::MIN_POSITIVE);
         let per_flow = tries / flows.iter().sum::<f64>().max(f64::MIN_POSITIVE);
         let sum = |table: &Table| table.weight.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let per = |(table, flow): (&Table, &f64)| per_flow * flow / sum(table) * self.swell(&table.weight);
+        let swollen = |table: &Table| swell(&table.weight, |e| self.fleet.failed_part(e)) / sum(table);
+        let per = |(table, flow): (&Table, &f64)| per_flow * flow * swollen(table);
         let per_weight: Vec<f64> = self.tables.iter().zip(flows).map(per).collect();
         for e in (0..ramping.len()).filter(|&e| ramping[e]) {
             let brings = self.tables.iter().zip(&per_weight).map(|(table, per)| table.weight[e] * per);
             let part = CAUTION * self.fleet.capacity[e] / brings.sum::<f64>().max(f64::MIN_POSITIVE);
             self.tables.iter_mut().for_each(|table| table.weight[e] *= part.min(1.0));
         }
-        // All second tries of a line that holds most of a table would come to the few beside it, however small.
-        let steady =
-            |table: &Table| table.weight.iter().zip(ramping).any(|(weight, ramp)| *weight > 0.0 && !ramp);
-        for table in (0..self.tables.len()).filter(|&table| steady(&self.tables[table])).collect::<Vec<_>>() {
-            let swollen = self.swell(&self.tables[table].weight) > self.site.fall_multiple;
-            let lines = self.tables[table].weight.iter_mut().zip(ramping);
-            lines.filter(|(_, ramping)| swollen && **ramping).for_each(|(weight, _)| *weight = 0.0);
+        // Second tries follow first ones: those that are let in, as far as the tries made bear them out.
+        self.clear_swollen(flows, ramping, per_flow * let_in.min(self.state.tries) / tries);
+    }
+
+    /// All second tries of a line that holds most of a table come to the few beside it, however small. Sums tell of them a
+    /// second late: a ramping endpoint has to bear them should all its neighbours fail, or leaves the tables that swell so.
+    fn clear_swollen(&mut self, flows: &[f64], ramping: &[bool], per_flow: f64) {
+        let (bears, fleet, mut cleared) = (self.site.fall_multiple, &self.fleet, true);
+        while std::mem::take(&mut cleared) {
+            let worst: Vec<Vec<f64>> = self.tables.iter().map(|table| worst_parts(&table.weight)).collect();
+            let comes = |e: usize| flows.iter().zip(&worst).map(|(flow, parts)| flow * parts[e]).sum::<f64>();
+            let over = |e: usize| per_flow * comes(e) > CAUTION * bears * fleet.capacity[e];
+            let over: Vec<bool> = (0..ramping.len()).map(|e| ramping[e] && over(e)).collect();
+            for Table { weight, .. } in &mut self.tables {
+                let steady = weight.iter().zip(ramping).any(|(weight, ramp)| *weight > 0.0 && !ramp);
+                let swells = swell(weight, |e| fleet.failed_part(e)) > bears;
+                let may_swell = swell(weight, |_| 1.0) > bears;
+                let leaves = |e: usize| steady && ramping[e] && (swells || (may_swell && over[e]));
+                for (_, weight) in
+                    weight.iter_mut().enumerate().filter(|(e, held)| leaves(*e) && **held > 0.0)
+                {
+                    (*weight, cleared) = (0.0, true);
+                }
+            }
         }
     }
 
@@ -626,16 +645,6 @@
         self.site.keep_away || self.now < self.surge_until
     }
 
-    /// By how much second tries may swell a line of a table: what fails goes on by weight to the other lines.
-    fn swell(&self, weights: &[f64]) -> f64 {
-        let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let again = |(e, weight): (usize, &f64)| match weight / sum {
-            part if part < 1.0 => part * self.fleet.failed_part(e) / (1.0 - part),
-            _ => 0.0,
-        };
-        1.0 + weights.iter().enumerate().map(again).sum::<f64>()
-    }
-
     /// When many tries fail, further tries and proxies' own avoidance pile onto whatever still answers, whatever its
     /// share. So it may be with proxies back but not heard since, and in a single table. Where proxies keep away from
     /// nothing, that is over once the tries made rise no more: what comes then is what the sums tell.
--- /dev/null
+++ b/tests/ramping.rs
@@ -0,0 +1,91 @@
+//! Endpoints that ramp while others drain: how near they come to falling over, in generated histories.
+
+mod ramp_model;
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use dahliaroad::interface::*;
+use ramp_model::{Nearest, RampModel};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ENDPOINTS: usize = 40;
+const PROXIES: usize = 90;
+/// A cold endpoint falls over when it is sent this many times what it can do.
+const FALL_MULTIPLE: f64 = 3.0;
+
+/// A channel that carries tables of a few lines.
+fn deployment() -> Deployment {
+    let class = ClassTerms { latency_goal: Duration::from_secs(2), value: 1.0, own_zone: false };
+    Deployment {
+        pilots: 1,
+        me: 0,
+        proxies: PROXIES,
+        homed: false,
+        zones: 1,
+        classes: vec![class],
+        level_unit: LevelUnit::Share,
+        sliced: false,
+        list_on_request: false,
+        dropping_binds: true,
+        probes_allowed: false,
+        round: Duration::from_secs(1),
+        crossing_price: 0.0,
+        lines_per_second: 4_000.0,
+        waiting_lines: 8_000.0,
+        lines_per_message: 6.0,
+        keep_away: false,
+        standing: 0,
+        messages: Some(12),
+        messages_span: Duration::from_secs(10),
+        start_capacity: 0.15,
+        warm_up: Duration::from_secs(17),
+        fall_multiple: FALL_MULTIPLE,
+    }
+}
+
+/// Three in ten endpoints drain and cold ones take their place three seconds later; two seconds on, so it goes with three
+/// in ten more. The proxies bring this part of what all endpoints can do before.
+fn replaced_in_two_waves(seed: u64, load: f64) -> RampModel {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let capacities: Vec<f64> = (0..ENDPOINTS).map(|_| random.random_range(5.0..15.0)).collect();
+    let rate = capacities.iter().sum::<f64>() * load / PROXIES as f64;
+    let mut model = RampModel::new(deployment(), &capacities, rate);
+    model.seconds(15);
+    let mut order: Vec<u32> = (0..ENDPOINTS as u32).collect();
+    order.shuffle(&mut random);
+    for wave in order.chunks(ENDPOINTS * 3 / 10).take(2) {
+        let successors: Vec<f64> = wave.iter().map(|&e| capacities[e as usize]).collect();
+        model.drain(wave);
+        model.seconds(3);
+        model.start(&successors);
+        model.seconds(2);
+    }
+    model.seconds(6);
+    model
+}
+
+/// The worst of these histories: its seed, and how near it came.
+fn nearest_of(seeds: RangeInclusive<u64>, load: f64) -> (u64, Nearest) {
+    let histories = seeds.filter_map(|seed| Some((seed, replaced_in_two_waves(seed, load).nearest()?)));
+    let worst = histories.max_by(|(_, one), (_, other)| one.multiple.total_cmp(&other.multiple));
+    worst.expect("endpoints ramp in every history")
+}
+
+#[test]
+fn no_ramping_endpoint_is_pushed_over_when_most_of_its_neighbours_drain_and_the_rest_jam() {
+    for load in [0.4, 0.55, 0.65, 0.8] {
+        let (seed, nearest) = nearest_of(1..=20, load);
+        println!("load {load}: seed {seed}, {nearest:?}");
+        assert!(nearest.multiple < FALL_MULTIPLE, "load {load}, seed {seed}: {nearest:?}");
+    }
+}
+
+#[test]
+fn ramping_endpoints_are_used_while_the_others_drain() {
+    let model = replaced_in_two_waves(1, 0.55);
+    let nearest = model.nearest().expect("endpoints ramp");
+    assert!(nearest.multiple > 0.5, "{nearest:?}");
+}
