--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use dahliaroad_fleet::{Epoch, Places, SourceId};
-use dahliaroad_host::Desk;
-use http_body_util::{BodyExt, Empty, Limited};
+use dahliaroad_host::Inbox;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -19,7 +20,7 @@
 use crate::counters;
 use crate::lists::ListMessage;
 use crate::pause::Pause;
-use crate::start::Address;
+use crate::reload::Address;
 
 /// The agent is on this machine: what is not there by then is not coming.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
@@ -56,6 +57,21 @@
     Ok(Link { address, sender })
 }
 
+/// A body in one piece, to which each frame is added as it comes: a long list is never there twice.
+async fn read_body(mut body: Incoming) -> Res<Vec<u8>> {
+    let announced = body.size_hint().lower().min(LONGEST as u64);
+    let mut text = Vec::with_capacity(announced as usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else { continue };
+        if text.len() + data.len() > LONGEST {
+            return Err(format!("a list of more than {LONGEST} bytes"));
+        }
+        text.extend_from_slice(&data);
+    }
+    Ok(text)
+}
+
 /// One question for the list.
 struct Question {
     path: String,
@@ -83,9 +99,9 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()));
         }
-        let body = timeout_at(end, Limited::new(answer.into_body(), LONGEST).collect()).await;
-        let body = body.map_err(|_| "no end of the list in time")?.map_err(|error| error.to_string())?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+        let text = timeout_at(end, read_body(answer.into_body())).await;
+        let text = text.map_err(|_| "no end of the list in time")??;
+        serde_json::from_slice(&text).map_err(|error| error.to_string())
     }
 }
 
@@ -100,7 +116,7 @@
 pub struct Watch {
     address: Address,
     places: Rc<Places>,
-    desk: Desk,
+    inbox: Inbox,
     source: SourceId,
     /// Counted up where versions go back.
     epoch: Epoch,
@@ -119,14 +135,14 @@
     pub fn new(
         address: Address,
         places: Rc<Places>,
-        desk: Desk,
+        inbox: Inbox,
         source: SourceId,
         seq: Option<u64>,
         chance: ChaCha8Rng,
     ) -> Watch {
         let pause = |longest| Pause::new(FIRST_PAUSE, longest, chance.clone());
         let (pause, doubt) = (pause(LONGEST_PAUSE), pause(LONGEST_DOUBT));
-        Watch { address, places, desk, source, epoch: Epoch(0), seq, pause, reread: None, doubt }
+        Watch { address, places, inbox, source, epoch: Epoch(0), seq, pause, reread: None, doubt }
     }
 
     fn question(&self) -> Question {
@@ -182,6 +198,8 @@
                 self.doubt.reset();
             }
         }
+        // A pause may be long, and a whole list large.
+        drop(list);
         // A watch that ends long before its time and brings nothing would be asked again without end.
         if progress || after * 2 >= question.wait {
             self.pause.reset();
@@ -194,7 +212,7 @@
     /// Hands a list on to the module; tells whether all of it could be read.
     pub async fn route(&self, list: &ListMessage) -> bool {
         let (source, (word, readable)) = (self.source, list.admit(&self.places, self.epoch));
-        self.desk.tell(Box::new(move |seat, now| seat.hear(now, source, word).1)).await;
+        self.inbox.tell(Box::new(move |controller, now| controller.apply(now, source, word).1)).await;
         readable
     }
 
@@ -203,7 +221,7 @@
             if let Err(error) = self.hear().await {
                 counters::WATCHES_LOST.add(1);
                 tracing::warn!("discovery: {error}");
-                self.desk.tell(Box::new(|seat, now| seat.pilot.list_failed(now))).await;
+                self.inbox.tell(Box::new(|controller, now| controller.pilot.endpoint_list_failed(now))).await;
             }
             self.pause.take().await;
         }
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use dahliaroad::interface::{Orders, ProxyId, ZoneId};
-use dahliaroad_host::{Desk, Seat};
+use dahliaroad_host::{Controller, Inbox};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
@@ -18,7 +18,7 @@
 use crate::counters;
 use crate::logging::shown;
 use crate::pause::Pause;
-use crate::start::Address;
+use crate::reload::Address;
 
 /// Two signs of life missed, and one late.
 const SILENT: Duration = Duration::from_millis(2500);
@@ -32,7 +32,7 @@
 const LARGEST: f64 = 1e9;
 
 #[derive(Deserialize)]
-struct Told {
+struct Message {
     method: Option<String>,
     params: Option<Params>,
     result: Option<bool>,
@@ -63,7 +63,7 @@
     link.write(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"subscribe\"}\n").await?;
     let line = link.read(ANSWER_WITHIN).await?;
     match serde_json::from_slice(line) {
-        Ok(Told { result: Some(true), .. }) => {}
+        Ok(Message { result: Some(true), .. }) => {}
         _ => return Err(unreadable(line)),
     }
     counters::SUBSCRIBED.add(1);
@@ -75,14 +75,14 @@
     address: Address,
     terms: Terms,
     outbox: Rc<Outbox>,
-    desk: Desk,
+    inbox: Inbox,
     proxies: BTreeSet<u32>,
     /// What stands, since the last subscription and until all of it has been told.
-    standing: Option<Standing>,
+    standing: Option<InitialState>,
 }
 
 #[derive(Default)]
-struct Standing {
+struct InitialState {
     told: BTreeSet<u32>,
     /// Signs of life since the last one that was told.
     signs: u32,
@@ -90,8 +90,8 @@
     spoilt: bool,
 }
 
-/// What became of a word.
-enum Heard {
+/// What became of a message.
+enum Outcome {
     Taken,
     /// It told nothing that could be missed.
     LeftOut,
@@ -100,8 +100,8 @@
 }
 
 impl Joined {
-    pub fn new(address: Address, terms: Terms, outbox: Rc<Outbox>, desk: Desk) -> Joined {
-        Joined { address, terms, outbox, desk, proxies: BTreeSet::new(), standing: None }
+    pub fn new(address: Address, terms: Terms, outbox: Rc<Outbox>, inbox: Inbox) -> Joined {
+        Joined { address, terms, outbox, inbox, proxies: BTreeSet::new(), standing: None }
     }
 
     async fn left(&mut self, proxy: u32) {
@@ -109,11 +109,11 @@
             counters::LEFT.add(1);
             // In its turn: what the module ordered for it before is in the outbox only then.
             let outbox = self.outbox.clone();
-            let left = move |seat: &mut Seat, now| {
+            let left = move |controller: &mut Controller, now| {
                 outbox.forget(proxy);
-                seat.pilot.left(now, ProxyId(proxy))
+                controller.pilot.proxy_left(now, ProxyId(proxy))
             };
-            self.desk.tell(Box::new(left)).await;
+            self.inbox.tell(Box::new(left)).await;
         }
     }
 
@@ -121,7 +121,7 @@
     async fn sign_of_life(&mut self) {
         let Some(standing) = &mut self.standing else { return };
         standing.signs += 1;
-        let Some(Standing { told, spoilt, .. }) =
+        let Some(InitialState { told, spoilt, .. }) =
             self.standing.take_if(|standing| standing.signs >= SIGNS_BETWEEN)
         else {
             return;
@@ -144,9 +144,9 @@
         if standing && self.proxies.contains(&node) {
             // It may have left and come again unheard, and be bound to none of our tables then.
             counters::DOUBTED.add(1);
-            self.desk
-                .tell(Box::new(move |seat, _| {
-                    seat.pilot.doubted(proxy);
+            self.inbox
+                .tell(Box::new(move |controller, _| {
+                    controller.pilot.proxy_in_doubt(proxy);
                     Orders::default()
                 }))
                 .await;
@@ -156,11 +156,13 @@
         self.left(node).await;
         self.proxies.insert(node);
         counters::JOINED.add(1);
-        self.desk.tell(Box::new(move |seat, now| seat.pilot.joined(now, proxy, zone, rate))).await;
+        self.inbox
+            .tell(Box::new(move |controller, now| controller.pilot.proxy_joined(now, proxy, zone, rate)))
+            .await;
         Some(())
     }
 
-    async fn admit(&mut self, told: Told) -> Heard {
+    async fn admit(&mut self, told: Message) -> Outcome {
         let heard = match (told.method.as_deref(), told.params) {
             (Some("hello"), Some(params)) => self.hello(params).await,
             (Some("bye"), Some(Params { node: Some(node), .. })) => {
@@ -172,9 +174,10 @@
                 if node < self.terms.proxies =>
             {
                 if let Some(mark) = self.outbox.confirmed(stamp) {
-                    let confirmed =
-                        move |seat: &mut Seat, now| seat.pilot.confirmed(now, ProxyId(node), mark);
-                    self.desk.tell(Box::new(confirmed)).await;
+                    let confirmed = move |controller: &mut Controller, now| {
+                        controller.pilot.acknowledged(now, ProxyId(node), mark)
+                    };
+                    self.inbox.tell(Box::new(confirmed)).await;
                 }
                 Some(())
             }
@@ -182,28 +185,28 @@
                 self.sign_of_life().await;
                 Some(())
             }
-            (Some(_), _) => return Heard::LeftOut,
+            (Some(_), _) => return Outcome::LeftOut,
         };
-        if heard.is_some() { Heard::Taken } else { Heard::Spoilt }
+        if heard.is_some() { Outcome::Taken } else { Outcome::Spoilt }
     }
 
     /// Of a word that is JSON and spoilt the method alone is of use; after what is no JSON nothing that follows can be
     /// trusted to be whole.
-    async fn take(&mut self, line: &[u8]) -> io::Result<Heard> {
+    async fn take(&mut self, line: &[u8]) -> io::Result<Outcome> {
         counters::NEWS.add(1);
         let heard = match serde_json::from_slice(line) {
             Ok(told) => self.admit(told).await,
             Err(_) => {
                 serde_json::from_slice::<IgnoredAny>(line).map_err(|_| unreadable(line))?;
                 let method = serde_json::from_slice::<Method>(line).ok().and_then(|Method { method }| method);
-                self.admit(Told { method, params: None, result: None }).await
+                self.admit(Message { method, params: None, result: None }).await
             }
         };
-        if !matches!(heard, Heard::Taken) {
+        if !matches!(heard, Outcome::Taken) {
             counters::BAD.add(1);
             tracing::warn!("relay: news left out: {}", shown(line));
         }
-        if let (Heard::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
+        if let (Outcome::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
             standing.spoilt = true;
         }
         Ok(heard)
@@ -214,7 +217,7 @@
         let mut link = subscribe(self.address.now()).await?;
         let mut spoilt_at: Option<Instant> = None;
         loop {
-            self.standing = Some(Standing::default());
+            self.standing = Some(InitialState::default());
             let (mut address, mut anew) = (self.address.clone(), None);
             let mut moved = pin!(address.moved(link.address, subscribe));
             let new = loop {
@@ -236,7 +239,7 @@
                 if self.standing.is_none() {
                     pause.reset();
                 }
-                if matches!(heard, Heard::Spoilt) && anew.is_none() {
+                if matches!(heard, Outcome::Spoilt) && anew.is_none() {
                     let now = Instant::now();
                     if spoilt_at.replace(now).is_none_or(|at| now - at > LONGEST_DOUBT * 2) {
                         doubt.reset();
