--- a/src/policy.rs
+++ b/src/policy.rs
@@ -627,7 +627,7 @@
         while std::mem::take(&mut cleared) {
             let worst: Vec<Vec<f64>> = self.tables.iter().map(|table| worst_parts(&table.weight)).collect();
             let comes = |e: usize| flows.iter().zip(&worst).map(|(flow, parts)| flow * parts[e]).sum::<f64>();
-            let over = |e: usize| per_flow * comes(e) > CAUTION * bears * fleet.capacity[e];
+            let over = |e: usize| per_flow * comes(e) > bears * fleet.capacity[e];
             let over: Vec<bool> = (0..ramping.len()).map(|e| ramping[e] && over(e)).collect();
             for Table { weight, .. } in &mut self.tables {
                 let steady = weight.iter().zip(ramping).any(|(weight, ramp)| *weight > 0.0 && !ramp);
