--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,6 +4,7 @@
 mod machine;
 mod module;
 mod process;
+mod process_scale;
 mod processor;
 mod registry;
 mod sizes;
@@ -12,16 +13,15 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use clap::error::ErrorKind;
 use clap::{Parser, Subcommand};
 use tokio::task::LocalSet;
 
-use crate::sizes::SenselessSize;
-
 #[global_allocator]
 static ALLOCATOR: allocator::CountingAllocator = allocator::CountingAllocator;
 
-/// How the command ends when it was asked for something senseless.
-const SENSELESS: u8 = 2;
+/// Of what makes no sense to measure, and of a command line that cannot be read.
+const REFUSED: u8 = 2;
 
 #[derive(Parser)]
 #[command(
@@ -36,6 +36,8 @@
 enum What {
     /// From a change in the registry to the order at the relay, and back to the truth after a break
     Registry(registry::Words),
+    /// What real pilot processes need in time, memory, processor time and bytes, by the length of the list
+    Process(process_scale::Words),
     /// Processor time and memory of the decision module alone, by one size at a time
     Module(module::Words),
 }
@@ -43,33 +45,42 @@
 fn main() -> ExitCode {
     let words = match Words::try_parse() {
         Ok(words) => words,
-        Err(error) if error.use_stderr() => return refuse(error),
-        Err(help) => help.exit(),
+        Err(error) if is_help(error.kind()) => error.exit(),
+        Err(error) => return refuse(&error),
     };
     let measured = match words.what {
-        What::Registry(words) => measure_registry(words),
+        What::Registry(words) => on_runtime(registry::measure(words)),
+        What::Process(words) => on_runtime(process_scale::measure(words)),
         What::Module(words) => module::measure(&words),
     };
     match measured {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dahliaroad-measure: {error}");
-            if error.is::<SenselessSize>() { ExitCode::from(SENSELESS) } else { ExitCode::FAILURE }
+            let refused = error.is::<sizes::SenselessSize>() || error.is::<process_scale::Refused>();
+            if refused { ExitCode::from(REFUSED) } else { ExitCode::FAILURE }
         }
     }
 }
 
-/// Words that cannot be read are told of in one line, as senseless sizes are.
-fn refuse(error: clap::Error) -> ExitCode {
+/// What was asked for, or is missing so far that help says most, is told of in full.
+fn is_help(kind: ErrorKind) -> bool {
+    use ErrorKind::{DisplayHelp, DisplayHelpOnMissingArgumentOrSubcommand, DisplayVersion};
+    matches!(kind, DisplayHelp | DisplayVersion | DisplayHelpOnMissingArgumentOrSubcommand)
+}
+
+/// A command line that cannot be read is told of in one line, as senseless sizes are.
+fn refuse(error: &clap::Error) -> ExitCode {
     let text = error.to_string();
     let line = text.lines().next().unwrap_or_default();
     eprintln!("dahliaroad-measure: {}", line.trim_start_matches("error: "));
-    ExitCode::from(SENSELESS)
+    ExitCode::from(REFUSED)
 }
 
-fn measure_registry(words: registry::Words) -> Result<(), Box<dyn Error>> {
+/// Runs what is measured on sockets, on this thread.
+fn on_runtime(measured: impl Future<Output = Result<(), Box<dyn Error>>>) -> Result<(), Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let measured = LocalSet::new().block_on(&runtime, registry::measure(words));
+    let measured = LocalSet::new().block_on(&runtime, measured);
     runtime.shutdown_timeout(Duration::ZERO);
     measured
 }
