--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -14,6 +14,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use clap::error::ErrorKind;
 use clap::{Parser, Subcommand};
 use tokio::task::LocalSet;
 
@@ -49,8 +50,8 @@
 fn main() -> ExitCode {
     let arguments = match Arguments::try_parse() {
         Ok(arguments) => arguments,
-        Err(error) if error.use_stderr() => return refuse(error),
-        Err(help) => help.exit(),
+        Err(error) if is_help(error.kind()) => error.exit(),
+        Err(error) => return refuse(&error),
     };
     let measured = match arguments.measurement {
         Measurement::Registry(options) => on_one_thread(registry::measure(options)),
@@ -67,8 +68,14 @@
     }
 }
 
+/// What was asked for, or is missing so far that help says most, is told of in full.
+fn is_help(kind: ErrorKind) -> bool {
+    use ErrorKind::{DisplayHelp, DisplayHelpOnMissingArgumentOrSubcommand, DisplayVersion};
+    matches!(kind, DisplayHelp | DisplayVersion | DisplayHelpOnMissingArgumentOrSubcommand)
+}
+
 /// Arguments that cannot be read are told of in one line, as senseless sizes are.
-fn refuse(error: clap::Error) -> ExitCode {
+fn refuse(error: &clap::Error) -> ExitCode {
     let text = error.to_string();
     let line = text.lines().next().unwrap_or_default();
     eprintln!("dahliaroad-measure: {}", line.trim_start_matches("error: "));
