An endpoint that leaves a pilot's subset while it runs is released: a planned move, not an end

Cause: a pilot that steers a part of a long list will let endpoints go that run on, and the module knew only drains and ends, which use the messages kept for emergencies and count as failing at once. Change: the interface's endpoint state gets Released. The module opens it no more and takes its lines out by the messages and the pace open to moves; one that drains, goes or starts anew after all is as urgent as ever. What released ones still handle is not counted among what the list has ended. ejected() tells which endpoints are shut out.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,6 +114,8 @@
     Draining,
     /// Dropped from the list.
     Gone,
+    /// It runs on, listed, and is none of this pilot's any more: its lines go as a planned move.
+    Released,
 }
 
 /// What the proxies of one zone met at one endpoint.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -668,7 +668,8 @@
         if !self.site.keep_away || failing < PILING / 4.0 {
             return failing;
         }
-        let ended: f64 = (0..fleet.len()).filter(|&e| !fleet.open[e]).map(|e| fleet.good[e]).sum();
+        let over = |&e: &usize| !fleet.open[e] && !fleet.released[e];
+        let ended: f64 = (0..fleet.len()).filter(over).map(|e| fleet.good[e]).sum();
         failing + (1.0 - failing) * ended / fleet.good.iter().sum::<f64>().max(f64::MIN_POSITIVE)
     }
 
@@ -699,8 +700,9 @@
         let Table { weight, sent, .. } = &self.tables[table];
         let moved = |&e: &usize| (weight[e] - sent[e]).abs() > WORTH_PUSHING * sent[e];
         let mut due: Vec<usize> = (0..weight.len()).filter(moved).collect();
-        let gone = |e: usize| sent[e] > 0.0 && !self.fleet.usable(e);
-        let urgent = |e: usize| gone(e) || (weight[e] < sent[e] && self.ramping(e));
+        let gone = |e: usize| sent[e] > 0.0 && !self.fleet.usable(e) && !self.fleet.released[e];
+        let eased = |e: usize| weight[e] < sent[e] && self.ramping(e) && !self.fleet.released[e];
+        let urgent = |e: usize| gone(e) || eased(e);
         let (any_gone, some) = (due.iter().any(|&e| gone(e)), due.iter().filter(|&&e| urgent(e)).count());
         // What is gone or eased goes first; where little would stay, what comes: no table goes empty.
         let stays: f64 = sent.iter().zip(weight).map(|(sent, weight)| sent.min(*weight)).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -110,7 +110,9 @@
     pub rank: Vec<usize>,
     /// Dropped from the list without having drained, where that does not bind.
     pub unlisted: Vec<bool>,
-    /// Since when the list has not had it, if it ever had.
+    /// It runs on, and its lines go as a planned move: it left this pilot's subset.
+    pub released: Vec<bool>,
+    /// Since when the list, or this pilot's subset of it, has not had it, if it ever had.
     pub gone: Vec<Option<Duration>>,
     /// By the zone of the proxies: what its sums last said.
     pub heard: Vec<Sums>,
@@ -168,7 +170,9 @@
         lay(&mut self.answers, how, 0);
         lay(&mut self.quietest, how, f64::INFINITY);
         lay(&mut self.reported, how, None);
-        for flags in [&mut self.open, &mut self.out, &mut self.probing, &mut self.unlisted] {
+        for flags in
+            [&mut self.open, &mut self.out, &mut self.probing, &mut self.unlisted, &mut self.released]
+        {
             lay(flags, how, false);
         }
         for times in [&mut self.started, &mut self.admitted, &mut self.probed, &mut self.gone] {
@@ -204,6 +208,10 @@
                 self.drop_from_list(now, e, binds);
                 continue;
             }
+            if entry.state == EndpointState::Released {
+                self.release(now, e);
+                continue;
+            }
             let open = entry.state == EndpointState::Running;
             let new = self.weight[e] == 0.0;
             if open && !first && (new || entry.started != self.started[e]) {
@@ -219,9 +227,18 @@
             self.kind[e] = entry.kind;
             self.weight[e] = entry.weight.max(f64::MIN_POSITIVE);
             (self.started[e], self.open[e], self.unlisted[e]) = (entry.started, open, false);
+            self.released[e] = false;
         }
     }
 
+    /// It is steered no more. Lines of one that has ended before have to go at once all the same.
+    fn release(&mut self, now: Duration, e: usize) {
+        self.gone[e] = self.gone[e].or(Some(now));
+        self.released[e] |= self.open[e];
+        (self.open[e], self.unlisted[e]) = (false, false);
+        (self.answers[e], self.strikes[e]) = (0, 0.0);
+    }
+
     /// What it showed before says nothing of it now.
     fn admit(&mut self, e: usize, now: Duration) {
         (self.admitted[e], self.rising[e], self.rising_busy[e]) = (Some(now), 0.0, 0.0);
@@ -230,7 +247,7 @@
     fn drop_from_list(&mut self, now: Duration, e: usize, binds: bool) {
         self.gone[e] = self.gone[e].or(Some(now));
         let stays = !binds && self.open[e];
-        (self.unlisted[e], self.open[e]) = (stays, stays);
+        (self.unlisted[e], self.open[e], self.released[e]) = (stays, stays, false);
         (self.answers[e], self.strikes[e]) = (0, 0.0);
     }
 
@@ -481,6 +498,12 @@
         }
     }
 
+    /// The endpoints that are listed and shut out, as their probes say.
+    pub fn ejected(&self) -> impl Iterator<Item = EndpointId> {
+        let ejected = self.fleet.opened().filter(|&e| self.fleet.out[e]);
+        ejected.map(|e| EndpointId(e as u32))
+    }
+
     /// Forgets an endpoint that the list has not had for longest, as long as more are gone than are left: one that
     /// comes back is known again, and what is kept stays bounded. Nothing under way may name it: no line that is
     /// held or due, no probe. Its number may then be given to another.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,6 +1,8 @@
 //! One story for each failure met, each against the same tiny host.
 
 mod host;
+#[path = "stories/released.rs"]
+mod released;
 #[path = "stories/shapes.rs"]
 mod shapes;
 
