Subsets: of a list beyond 512 ready endpoints a pilot steers those it ranks best for

Cause: a pilot's cost grew with the list it hears, also where its proxies' calls fill a small part of what is listed. Change: a new pure crate, dahliaroad-subset, stands between the fleet and the module. For each endpoint all pilots are ranked by a fixed score of its name and their numbers; a pilot holds the 512 ready ones of its lowest rank, floors for zones and warm ones added, what is ejected replaced in the same turn, without talk among pilots. Each change costs the logarithm of the list. Lists no longer than that, and eight pilots or fewer, are told word for word: with few pilots the subset grows to ready * 8 / pilots, as an endpoint that nobody holds gets no calls. Counters, a log line, and reports of endpoints not held cost a look-up.

--- a/crates/host/src/controller.rs
+++ b/crates/host/src/controller.rs
@@ -1,10 +1,14 @@
-//! The module, the fleet it is told of, and the numbers between them.
+//! The module, the fleet, the subset of it that the module is told of, and the numbers between them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dahliaroad::Pilot;
-use dahliaroad::interface::{EndpointId, EndpointState, EndpointUpdate, Orders, ProbeOutcome, ZoneId};
-use dahliaroad_fleet::{Change, Changes, Fleet, Freshness, ServingState, SourceId, SourceMessage};
+use dahliaroad::interface::{
+    Deployment, EndpointId, EndpointState, EndpointUpdate, Orders, ProbeOutcome, ZoneId,
+};
+use dahliaroad_fleet::{Entry, Fleet, Freshness, ServingState, SourceId, SourceMessage};
+use dahliaroad_subset::{SUBSET_SIZE, Settings, Subset, Update, UpdateState, Updates};
 
 use crate::counters;
 use crate::endpoint_ids::EndpointIds;
@@ -13,11 +17,24 @@
     pub pilot: Pilot,
     pub endpoint_ids: EndpointIds,
     pub fleet: Fleet,
+    subset: Subset,
 }
 
 impl Controller {
-    pub fn new(pilot: Pilot, fleet: Fleet) -> Controller {
-        Controller { pilot, endpoint_ids: EndpointIds::default(), fleet }
+    pub fn new(deployment: Deployment, fleet: Fleet) -> Controller {
+        Controller::with_subset_size(deployment, fleet, SUBSET_SIZE)
+    }
+
+    /// One that steers another number of a long list's endpoints than pilots do.
+    pub fn with_subset_size(deployment: Deployment, fleet: Fleet, size: usize) -> Controller {
+        let Deployment { me, pilots, warm_up, .. } = deployment;
+        let subset = Subset::new(Settings { me, pilots, size, warm_up });
+        let pilot = Pilot::new(deployment);
+        Controller { pilot, endpoint_ids: EndpointIds::default(), fleet, subset }
+    }
+
+    pub fn subset(&self) -> &Subset {
+        &self.subset
     }
 
     /// A source's word; what the module is to hear of it later goes by [`apply_due`](Controller::apply_due).
@@ -32,14 +49,26 @@
             (&counters::FORGOTTEN, counts.forgotten),
         ];
         told.into_iter().for_each(|(counter, count)| counter.set(count));
-        (heard.verdict, heard.changes.map_or_else(Orders::default, |changes| self.list(now, changes)))
+        let updates = heard.changes.and_then(|changes| self.subset.apply(now, changes));
+        (heard.verdict, self.tell(now, updates).unwrap_or_default())
     }
 
-    /// Tells the module what is due of what sources said.
+    /// Tells the module what is due of what sources said, and of the subset as time goes by.
     pub fn apply_due(&mut self, now: Duration) -> Orders {
         let changes = self.fleet.take_changes(now);
         counters::HELD.set(self.fleet.counts.held);
-        changes.map_or_else(Orders::default, |changes| self.list(now, changes))
+        let updates = match changes {
+            Some(changes) => self.subset.apply(now, changes),
+            None => self.subset.advance(now),
+        };
+        self.tell(now, updates).unwrap_or_default()
+    }
+
+    /// Tells the module what stands in for the endpoints that it has ejected, if that is anything new.
+    pub fn replace_ejected(&mut self, now: Duration) -> Option<Orders> {
+        let ejected: Vec<Arc<str>> = self.pilot.ejected().map(|id| self.endpoint_ids.name(id)).collect();
+        let updates = self.subset.eject(ejected.iter().map(|name| &**name));
+        self.tell(now, updates)
     }
 
     /// How a probe of this life ended: of the one that has the number now it says nothing, if that is another.
@@ -62,6 +91,8 @@
         counters::MOST_LINES_WAITING.raise(waiting);
         let least = self.pilot.admissions().iter().copied().fold(1.0, f64::min);
         counters::LEAST_LEVEL.set((least * 1000.0) as usize);
+        counters::LISTED.set(self.subset.ready());
+        counters::STEERED.set(self.subset.held());
     }
 
     /// The level of each class, by name.
@@ -87,39 +118,55 @@
         }
     }
 
-    fn list(&mut self, now: Duration, changes: Changes) -> Orders {
+    fn tell(&mut self, now: Duration, updates: Option<Updates>) -> Option<Orders> {
+        let updates = updates?;
         counters::LISTS.add(1);
+        self.tell_replaced(&updates);
         let entries: Vec<EndpointUpdate> =
-            changes.entries.iter().filter_map(|handed| self.listed(handed)).collect();
-        let orders = self.pilot.update_endpoints(now, changes.whole, &entries);
+            updates.entries.iter().filter_map(|update| self.endpoint_update(update)).collect();
+        let orders = self.pilot.update_endpoints(now, updates.whole, &entries);
         while let Some(gone) = self.pilot.release_endpoint_id() {
+            self.subset.forget(&self.endpoint_ids.name(gone));
             self.endpoint_ids.release(gone);
         }
-        orders
+        Some(orders)
+    }
+
+    fn tell_replaced(&self, updates: &Updates) {
+        let Updates { taken_up, released, .. } = updates;
+        counters::TAKEN_UP.add(*taken_up);
+        counters::RELEASED.add(*released);
+        if *taken_up + *released > 0 {
+            let (listed, held) = (self.subset.ready(), self.subset.held());
+            tracing::info!("subset: {held} held of {listed} ready, {taken_up} taken up, {released} released");
+        }
     }
 
     /// One that is gone and was never numbered is none of the module's.
-    fn listed(&mut self, handed: &Change) -> Option<EndpointUpdate> {
-        Some(match &handed.entry {
-            Some(entry) => EndpointUpdate {
-                endpoint: self.endpoint_ids.assign(&handed.name, entry.dial, entry.incarnation.started),
-                zone: entry.zone,
-                kind: entry.kind,
-                weight: entry.weight,
-                started: entry.incarnation.started,
-                state: match entry.standing {
-                    ServingState::Running => EndpointState::Running,
-                    ServingState::Aside | ServingState::Draining => EndpointState::Draining,
-                },
-            },
-            None => EndpointUpdate {
-                endpoint: self.endpoint_ids.find(&handed.name)?,
-                zone: ZoneId(0),
-                kind: 0,
-                weight: 0.0,
-                started: None,
-                state: EndpointState::Gone,
+    fn endpoint_update(&mut self, update: &Update) -> Option<EndpointUpdate> {
+        match &update.state {
+            UpdateState::Listed(entry) => Some(self.listed(&update.name, entry)),
+            UpdateState::Released => self.unlisted(&update.name, EndpointState::Released),
+            UpdateState::Gone => self.unlisted(&update.name, EndpointState::Gone),
+        }
+    }
+
+    fn listed(&mut self, name: &str, entry: &Entry) -> EndpointUpdate {
+        EndpointUpdate {
+            endpoint: self.endpoint_ids.assign(name, entry.dial, entry.incarnation.started),
+            zone: entry.zone,
+            kind: entry.kind,
+            weight: entry.weight,
+            started: entry.incarnation.started,
+            state: match entry.standing {
+                ServingState::Running => EndpointState::Running,
+                ServingState::Aside | ServingState::Draining => EndpointState::Draining,
             },
-        })
+        }
+    }
+
+    fn unlisted(&self, name: &str, state: EndpointState) -> Option<EndpointUpdate> {
+        let endpoint = self.endpoint_ids.find(name)?;
+        Some(EndpointUpdate { endpoint, zone: ZoneId(0), kind: 0, weight: 0.0, started: None, state })
     }
 }
--- a/crates/host/src/inbox.rs
+++ b/crates/host/src/inbox.rs
@@ -20,6 +20,9 @@
 /// The module asks for its timer; should it ever not, it is called after this long all the same.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
+/// Replacements of ejected endpoints in one turn. Each may bring about another ejection; the next turn goes on.
+const REPLACEMENTS_A_TURN: usize = 16;
+
 /// Where orders go: it writes them out and keeps what cannot go yet, and holds nobody up.
 pub trait OrderSink {
     fn send(&self, orders: &Orders, endpoint_ids: &EndpointIds);
@@ -107,6 +110,7 @@
             taken.push(Box::new(|controller, now| controller.pilot.on_timer(now)));
         }
         taken.push(Box::new(Controller::apply_due));
+        let mut replacements = 0;
         while !taken.is_empty() {
             for call in std::mem::take(&mut taken) {
                 let orders = call(&mut controller, now);
@@ -127,6 +131,13 @@
                     }
                 }
             }
+            // What is ejected is replaced before anything of this turn leaves.
+            if replacements < REPLACEMENTS_A_TURN
+                && let Some(orders) = controller.replace_ejected(now)
+            {
+                replacements += 1;
+                taken.push(Box::new(|_, _| orders));
+            }
         }
         front.release();
         counters::LONGEST_TURN.raise(begun.elapsed().as_millis() as usize);
--- /dev/null
+++ b/crates/host/tests/support/mod.rs
@@ -0,0 +1,77 @@
+//! A deployment, and sources' messages about its endpoints.
+
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use dahliaroad::interface::{AdmissionUnit, ClassSettings, Deployment, ZoneId};
+use dahliaroad_fleet::{
+    Entry, EntryState, EntryUpdate, Epoch, Incarnation, Revision, ServingState, SourceMessage,
+};
+
+pub const ZONES: u32 = 2;
+pub const WARM_UP: Duration = Duration::from_secs(10);
+
+pub fn deployment(pilots: usize) -> Deployment {
+    let class = |seconds: u64, value: f64| ClassSettings {
+        latency_objective: Duration::from_secs(seconds),
+        value,
+        own_zone: false,
+    };
+    Deployment {
+        pilots,
+        me: pilots / 2,
+        proxies: 4 * pilots,
+        homed: false,
+        zones: ZONES as usize,
+        classes: vec![class(2, 1.0), class(1, 2.0)],
+        admission_unit: AdmissionUnit::Share,
+        sliced: false,
+        list_on_request: false,
+        dropping_binds: true,
+        probes_allowed: true,
+        round: Duration::from_secs(1),
+        crossing_price: 0.1,
+        lines_per_second: 10_000.0,
+        waiting_lines: 10_000.0,
+        lines_per_message: 4.0,
+        keep_away: false,
+        standing: 0,
+        messages: Some(12),
+        messages_span: Duration::from_secs(10),
+        start_capacity: 0.2,
+        warm_up: WARM_UP,
+        fall_multiple: 3.0,
+    }
+}
+
+pub fn name(endpoint: u32) -> String {
+    format!("e{endpoint}")
+}
+
+pub fn entry(endpoint: u32, started: Option<Duration>, created: u64) -> Entry {
+    let dial = Some(([127, 0, 0, 1], 1000 + endpoint as u16).into());
+    let incarnation = Incarnation { started, created: Revision(created) };
+    let zone = ZoneId(endpoint % ZONES);
+    Entry { incarnation, dial, zone, kind: 0, weight: 1.0, standing: ServingState::Running }
+}
+
+pub fn told(endpoint: u32, at: u64, state: EntryState) -> EntryUpdate {
+    EntryUpdate { name: name(endpoint).into(), at: Revision(at), state }
+}
+
+/// So many endpoints, all of them warm.
+pub fn whole(endpoints: u32) -> SourceMessage {
+    let listed = |endpoint| told(endpoint, 1, EntryState::Listed(entry(endpoint, None, 0)));
+    SourceMessage::Whole {
+        epoch: Epoch(0),
+        revision: Revision(1),
+        entries: (0..endpoints).map(listed).collect(),
+    }
+}
+
+pub fn change(revision: u64, entries: Vec<EntryUpdate>) -> SourceMessage {
+    let (after, revision) = (Revision(revision - 1), Revision(revision));
+    SourceMessage::Changes { epoch: Epoch(0), after, revision, entries }
+}
--- a/crates/measure/src/hollow/hollow_controller.rs
+++ b/crates/measure/src/hollow/hollow_controller.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahliaroad::Pilot;
 use dahliaroad::interface::{
     DemandReport, Deployment, EndpointId, EndpointReport, LoadReport, Orders, ProbeOutcome, ProxyId, ZoneId,
 };
@@ -42,7 +41,7 @@
     pub fn new(deployment: &Deployment) -> HollowController {
         let mut fleet = Fleet::new(Bounds::default());
         let discovery = fleet.add(SourceTerms::direct("discovery"));
-        HollowController { controller: Controller::new(Pilot::new(deployment.clone()), fleet), discovery }
+        HollowController { controller: Controller::new(deployment.clone(), fleet), discovery }
     }
 
     pub fn names(&self) -> &EndpointIds {
@@ -83,6 +82,11 @@
     pub fn apply_due(&mut self, now: Duration) -> Orders {
         self.controller.apply_due(now)
     }
+
+    /// What stands in for endpoints that were ejected in this turn.
+    pub fn replace_ejected(&mut self, now: Duration) -> Option<Orders> {
+        self.controller.replace_ejected(now)
+    }
 }
 
 fn endpoint_report(sums: &EndpointSums) -> EndpointReport {
--- a/crates/measure/src/hollow/pilot.rs
+++ b/crates/measure/src/hollow/pilot.rs
@@ -386,6 +386,7 @@
             all.push(self.controller.apply(now, input));
         }
         all.push(self.controller.apply_due(now));
+        all.extend(self.controller.replace_ejected(now));
         self.usage.processor += thread_processor_time().saturating_sub(before);
         all
     }
--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -116,7 +116,8 @@
             Some(endpoint) => controller.pilot.endpoint_report(now, zone, endpoint, met),
             // Numbers are for what discovery lists, or anyone could fill them up.
             None => {
-                counters::UNLISTED.add(1);
+                let all = controller.subset().holds_all();
+                if all { &counters::UNLISTED } else { &counters::NOT_HELD }.add(1);
                 Orders::default()
             }
         }))
--- a/crates/pilot/src/counters.rs
+++ b/crates/pilot/src/counters.rs
@@ -9,6 +9,7 @@
     COVERED: "milliseconds that they covered",
     SPOILT: "spoilt messages left out",
     UNLISTED: "sums of endpoints not listed",
+    NOT_HELD: "sums of endpoints not held",
     ALIVE: "alive answered",
     BAD: "inputs refused",
     NEWS: "news taken in",
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -21,7 +21,6 @@
 use std::time::Duration;
 
 use arguments::{Arguments, Command};
-use dahliaroad::Pilot;
 use dahliaroad::interface::Orders;
 use dahliaroad_fleet::{Fleet, Freshness, Places, SourceId, SourceMessage, SourceTerms};
 use dahliaroad_host::{Controller, Inbox};
@@ -139,7 +138,7 @@
     let outbox = Rc::new(Outbox::new(classes.clone(), stamps.next_u32()));
     let (inbox, calls) = Inbox::open();
     let (probes, probes_waiting) = mpsc::channel(PROBES_WAITING);
-    let controller = Controller::new(Pilot::new(opening.deployment), fleet);
+    let controller = Controller::new(opening.deployment, fleet);
     let places = Places { zones: zones.clone(), kinds: opening.kinds };
     let terms = relay::Terms { zones: zones.clone(), proxies };
     let joined = relay::Joined::new(reload.relay(), terms, outbox.clone(), inbox.clone());
--- /dev/null
+++ b/crates/pilot/tests/subset.rs
@@ -0,0 +1,131 @@
+//! A list longer than a subset: the pilot as a process of its own, with the size it has for all, and the toy fleet.
+
+mod stage;
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dahliaroad_subset::{Ranking, SUBSET_SIZE};
+use serde_json::{Value, json};
+use stage::*;
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+use toyfleet::{Fleet, frame};
+
+/// So many that a whole subset can be replaced by another.
+const ENDPOINTS: u32 = 1_200;
+const PILOTS: usize = 100;
+const ME: usize = 3;
+
+fn name(place: u32) -> String {
+    format!("e{place}")
+}
+
+/// All answer at the address of the first: none of these stories asks which of them answers.
+async fn long_list() -> Fleet {
+    let fleet = fleet(1).await;
+    let dial = fleet.world.endpoints.borrow()["e0"].dial;
+    for place in 1..ENDPOINTS {
+        fleet.world.add_endpoint(&name(place), zone(place), "large", 20.0, dial);
+    }
+    fleet
+}
+
+fn one_of_many(fleet: &Fleet) -> Value {
+    let mut all = configuration(fleet, json!({"seq": 0, "whole": true, "hosts": []}));
+    (all["settings"]["balancers"], all["settings"]["me"]) = (json!(PILOTS), json!(ME));
+    all
+}
+
+/// The names in the tables that proxies hold.
+fn in_tables(fleet: &Fleet) -> BTreeSet<String> {
+    let proxies = fleet.world.proxies.borrow();
+    let lines = proxies.values().flat_map(|proxy| proxy.held.values());
+    lines.flat_map(|lines| lines.keys().cloned()).collect()
+}
+
+/// What the pilot's number makes of those that are left.
+fn expected(left: impl Fn(&String) -> bool) -> BTreeSet<String> {
+    let ranking = Ranking::new(ME, PILOTS);
+    let mut names: Vec<String> = (0..ENDPOINTS).map(name).filter(left).collect();
+    names.sort_by_key(|name| ranking.preference(name));
+    names.into_iter().take(SUBSET_SIZE).collect()
+}
+
+async fn scene() -> (Rc<Fleet>, Pilot, Rc<Watcher>) {
+    let fleet = Rc::new(long_list().await);
+    let pilot = Pilot::start(one_of_many(&fleet)).await;
+    let first = expected(|_| true);
+    until("the subset held", || in_tables(&fleet) == first).await;
+    until("all bound", || (0..4).all(|node| bound(&fleet, node) && held_by(&fleet, node))).await;
+    let watcher = Watcher::begin(&fleet, &pilot);
+    (fleet, pilot, watcher)
+}
+
+#[test]
+fn all_of_a_subset_drains_at_once_and_others_take_its_place() {
+    play(async {
+        let (fleet, pilot, watcher) = scene().await;
+        sleep(Duration::from_secs(2)).await;
+        let drained = in_tables(&fleet);
+        assert_eq!(drained.len(), SUBSET_SIZE);
+        for name in &drained {
+            fleet.world.set_health(name, "leaving");
+            watcher.end(name);
+        }
+        let next = expected(|name| !drained.contains(name));
+        until("the drained let go", || in_tables(&fleet).is_disjoint(&drained)).await;
+        until("the next subset held", || in_tables(&fleet) == next).await;
+        assert_eq!(
+            (watcher.late.get(), watcher.stranded.get()),
+            (0, 0),
+            "slowest {:?}",
+            watcher.slowest.get()
+        );
+        println!("{SUBSET_SIZE} drained at once: the last call to one after {:?}", watcher.slowest.get());
+        assert_eq!(pilot.count("endpoints listed as ready").await, ENDPOINTS as usize - SUBSET_SIZE);
+        assert_eq!(pilot.count("endpoints held of them").await, SUBSET_SIZE);
+        pilot.assert_alive().await;
+    });
+}
+
+#[test]
+fn a_zone_lost_at_once_leaves_a_full_subset_of_the_others() {
+    play(async {
+        let (fleet, pilot, watcher) = scene().await;
+        let lost: Vec<String> = (0..ENDPOINTS).step_by(2).map(name).collect();
+        for name in &lost {
+            fleet.world.set_health(name, "left");
+            watcher.end(name);
+        }
+        let next = expected(|name| !lost.contains(name));
+        until("the other zone's held", || in_tables(&fleet) == next).await;
+        assert_eq!((watcher.late.get(), watcher.stranded.get()), (0, 0));
+        assert!(pilot.logged(&format!("subset: {SUBSET_SIZE} held of {} ready", ENDPOINTS / 2)));
+    });
+}
+
+#[test]
+fn a_pilot_that_starts_again_holds_the_same_and_leaves_out_sums_of_others() {
+    play(async {
+        let (fleet, mut pilot, _watcher) = scene().await;
+        let before = in_tables(&fleet);
+        pilot.process.kill().await.unwrap();
+        let world = &fleet.world;
+        (0..4).for_each(|node| world.leave(node));
+        world.break_news();
+        world.tables.borrow_mut().clear();
+        (0..4).for_each(|node| world.join(node, zone(node), 10.0));
+        let pilot = Pilot::start(one_of_many(&fleet)).await;
+        until("all bound", || (0..4).all(|node| bound(&fleet, node))).await;
+        until("the same held", || in_tables(&fleet) == before).await;
+        let other = (0..ENDPOINTS).map(name).find(|name| !before.contains(name)).unwrap();
+        let sums = json!({"type": "outcomes", "locality": "east", "endpoint": other, "total": 5.0, "errors": 0.0,
+            "rtt": 20.0, "interval": 1000.0});
+        let mut collector = pilot.collector().await;
+        collector.write_all(&frame(&sums)).await.unwrap();
+        pilot.counts_to("sums of endpoints not held", 1).await;
+        assert_eq!(pilot.count("sums of endpoints not listed").await, 0);
+    });
+}
--- /dev/null
+++ b/crates/subset/src/score.rs
@@ -0,0 +1,66 @@
+//! Scores of pilots for endpoints. Every function here is fixed for good: pilots of different versions have to
+//! agree on who holds what, so a change of any constant is a change of the protocol.
+
+/// The odd number closest to 2^64 over the golden ratio: multiples of it spread evenly.
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+/// FNV-1a for 64 bits.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// The finalizer of SplitMix64. One to one, so different numbers never meet.
+pub const fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
+
+/// FNV-1a over the bytes of an endpoint's name, finalized.
+pub fn name_hash(name: &str) -> u64 {
+    let add = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    mix(name.bytes().fold(FNV_OFFSET, add))
+}
+
+/// What a pilot's number contributes to its scores.
+pub const fn pilot_seed(pilot: usize) -> u64 {
+    mix(GOLDEN.wrapping_mul(pilot as u64 + 1))
+}
+
+/// How well a pilot fits an endpoint, the lower the better. Two pilots never have the same score for one endpoint.
+pub const fn score(name_hash: u64, pilot_seed: u64) -> u64 {
+    mix(name_hash ^ pilot_seed)
+}
+
+/// A pilot's place among all pilots for one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Preference {
+    /// How many pilots have a better score.
+    pub rank: u32,
+    /// Its own score, which orders endpoints of the same rank.
+    pub score: u64,
+}
+
+/// One pilot among all.
+#[derive(Debug)]
+pub struct Ranking {
+    own_seed: u64,
+    seeds: Vec<u64>,
+}
+
+impl Ranking {
+    /// Pilot `me` of so many, counted from 0.
+    pub fn new(me: usize, pilots: usize) -> Ranking {
+        Ranking { own_seed: pilot_seed(me), seeds: (0..pilots).map(pilot_seed).collect() }
+    }
+
+    /// Costs one score for each pilot.
+    pub fn preference(&self, name: &str) -> Preference {
+        let hash = name_hash(name);
+        let own = score(hash, self.own_seed);
+        let better = self.seeds.iter().filter(|seed| score(hash, **seed) < own);
+        Preference { rank: better.count() as u32, score: own }
+    }
+
+    pub fn pilots(&self) -> usize {
+        self.seeds.len()
+    }
+}
--- /dev/null
+++ b/crates/subset/src/selection.rs
@@ -0,0 +1,79 @@
+//! Which of the ready endpoints are chosen: the lowest of all, and the floors for safety.
+
+use std::collections::BTreeMap;
+
+use crate::lowest::{Lowest, Position};
+
+/// Ready endpoints of each zone that are chosen at least, as far as there are so many: classes may be confined to
+/// their zone.
+pub const ZONE_FLOOR: usize = 4;
+/// Warm ones of each zone that are chosen at least.
+pub const WARM_ZONE_FLOOR: usize = 1;
+/// One in so many of the subset is to be warm, as long as that many are listed.
+pub const WARM_PART: usize = 2;
+
+/// What the selection goes by besides the order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Traits {
+    pub zone: u32,
+    pub warm: bool,
+}
+
+#[derive(Debug)]
+struct Zone {
+    ready: Lowest,
+    warm: Lowest,
+}
+
+impl Zone {
+    fn new() -> Zone {
+        Zone { ready: Lowest::new(ZONE_FLOOR), warm: Lowest::new(WARM_ZONE_FLOOR) }
+    }
+}
+
+/// Depends on who is ready now and on nothing that was before: a pilot that starts anew chooses the same.
+#[derive(Debug)]
+pub struct Selection {
+    ready: Lowest,
+    warm: Lowest,
+    zones: BTreeMap<u32, Zone>,
+}
+
+impl Selection {
+    pub fn new(size: usize) -> Selection {
+        Selection { ready: Lowest::new(size), warm: Lowest::new(size / WARM_PART), zones: BTreeMap::new() }
+    }
+
+    /// Adds a ready endpoint; the slots of all whose choice may have changed are added to `moved`.
+    pub fn insert(&mut self, position: Position, traits: Traits, moved: &mut Vec<u32>) {
+        let zone = self.zones.entry(traits.zone).or_insert_with(Zone::new);
+        self.ready.insert(position, moved);
+        zone.ready.insert(position, moved);
+        if traits.warm {
+            self.warm.insert(position, moved);
+            zone.warm.insert(position, moved);
+        }
+    }
+
+    /// Takes out one that was inserted with these traits; `moved` as for [`insert`](Selection::insert).
+    pub fn remove(&mut self, position: &Position, traits: Traits, moved: &mut Vec<u32>) {
+        self.ready.remove(position, moved);
+        self.warm.remove(position, moved);
+        if let Some(zone) = self.zones.get_mut(&traits.zone) {
+            zone.ready.remove(position, moved);
+            zone.warm.remove(position, moved);
+        }
+    }
+
+    /// Changes the size of the subset; `moved` as for [`insert`](Selection::insert).
+    pub fn resize(&mut self, size: usize, moved: &mut Vec<u32>) {
+        self.ready.resize(size, moved);
+        self.warm.resize(size / WARM_PART, moved);
+    }
+
+    pub fn chooses(&self, position: &Position, zone: u32) -> bool {
+        let in_zone = |zone: &Zone| zone.ready.contains(position) || zone.warm.contains(position);
+        let in_its_zone = || self.zones.get(&zone).is_some_and(in_zone);
+        self.ready.contains(position) || self.warm.contains(position) || in_its_zone()
+    }
+}
--- /dev/null
+++ b/crates/subset/tests/scores.rs
@@ -0,0 +1,60 @@
+//! Fixed expectations, worked out apart from this code: pilots of different versions have to agree.
+
+use dahliaroad_subset::score::{name_hash, pilot_seed, score};
+use dahliaroad_subset::{Preference, Ranking};
+
+#[test]
+fn names_pilots_and_scores_are_hashed_as_they_always_were() {
+    let names = [
+        ("", 0xf52a_15e9_a9b5_e89b),
+        ("a", 0x02c0_bdbf_4814_20f8),
+        ("e0", 0x8308_c86e_5203_d16f),
+        ("s-00000001", 0x904c_37ed_98ca_245b),
+        ("ledger-7.east", 0x0452_73ae_ba37_d58e),
+    ];
+    names.into_iter().for_each(|(name, hash)| assert_eq!(name_hash(name), hash, "{name}"));
+    let pilots = [(0, 0xe220_a839_7b1d_cdaf), (1, 0x6e78_9e6a_a1b9_65f4), (2139, 0xdd37_ae52_5847_7b15)];
+    pilots.into_iter().for_each(|(pilot, seed)| assert_eq!(pilot_seed(pilot), seed, "{pilot}"));
+    let scores = [
+        ("a", 0, 0x4bf2_9e58_73d3_d4c1),
+        ("s-00000001", 7, 0x420a_3836_c2d3_ed55),
+        ("s-00000001", 2139, 0xe7c1_9989_9a66_1b81),
+    ];
+    for (name, pilot, expected) in scores {
+        assert_eq!(score(name_hash(name), pilot_seed(pilot)), expected, "{name} {pilot}");
+    }
+}
+
+#[test]
+fn a_rank_counts_the_pilots_that_fit_better() {
+    let ranks = [
+        ("a", 0, 5, 3),
+        ("s-00000001", 7, 2140, 561),
+        ("ledger-7.east", 3, 100, 70),
+        ("e0", 2139, 2140, 776),
+    ];
+    for (name, me, pilots, rank) in ranks {
+        let expected = Preference { rank, score: score(name_hash(name), pilot_seed(me)) };
+        assert_eq!(Ranking::new(me, pilots).preference(name), expected, "{name} {me}");
+    }
+}
+
+#[test]
+fn the_ranks_of_one_endpoint_are_each_number_once() {
+    let pilots = 50;
+    for endpoint in 0..100 {
+        let name = format!("e{endpoint}");
+        let mut ranks: Vec<u32> =
+            (0..pilots).map(|me| Ranking::new(me, pilots).preference(&name).rank).collect();
+        ranks.sort_unstable();
+        assert!(ranks.into_iter().eq(0..pilots as u32), "{name}");
+    }
+}
+
+#[test]
+fn the_order_of_a_pilot_is_fixed() {
+    let ranking = Ranking::new(3, 20);
+    let mut names: Vec<String> = (0..40).map(|endpoint| format!("e{endpoint}")).collect();
+    names.sort_by_key(|name| ranking.preference(name));
+    assert_eq!(names[..8], ["e3", "e6", "e16", "e7", "e0", "e24", "e22", "e1"]);
+}
--- /dev/null
+++ b/crates/subset/tests/spread.rs
@@ -0,0 +1,253 @@
+//! How evenly all pilots' subsets lie over the endpoints, and how much moves when something changes. Of the largest
+//! service: 22,500 endpoints and 2,140 pilots.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dahliaroad::interface::ZoneId;
+use dahliaroad_fleet::{Change, Changes, Entry, Incarnation, Revision, ServingState};
+use dahliaroad_subset::score::{name_hash, pilot_seed, score};
+use dahliaroad_subset::*;
+
+const ZONES: u32 = 6;
+const KINDS: u32 = 3;
+
+#[derive(Clone, Copy)]
+struct Service {
+    endpoints: u32,
+    pilots: usize,
+    size: usize,
+}
+
+const LARGEST: Service = Service { endpoints: 22_500, pilots: 2_140, size: SUBSET_SIZE };
+const SMALL: Service = Service { endpoints: 600, pilots: 200, size: 80 };
+
+fn name(endpoint: u32) -> String {
+    format!("ledger-{endpoint:05}.fleet.example")
+}
+
+fn zone(endpoint: u32) -> u32 {
+    endpoint % ZONES
+}
+
+fn kind(endpoint: u32) -> u32 {
+    endpoint / ZONES % KINDS
+}
+
+/// By pilot: the endpoints it holds, worked out for all pilots at once.
+struct Holdings(Vec<Vec<u32>>);
+
+impl Holdings {
+    fn of(service: Service, listed: impl Iterator<Item = u32>) -> Holdings {
+        let listed: Vec<u32> = listed.collect();
+        let seeds: Vec<u64> = (0..service.pilots).map(pilot_seed).collect();
+        // No pilot's subset reaches as far as twice the mean rank at which subsets end.
+        let most = (2 * service.size * service.pilots / listed.len()).min(service.pilots);
+        let mut order = vec![Vec::new(); service.pilots];
+        for &endpoint in &listed {
+            let hash = name_hash(&name(endpoint));
+            let mut scores: Vec<(u64, usize)> =
+                seeds.iter().enumerate().map(|(pilot, seed)| (score(hash, *seed), pilot)).collect();
+            if most < scores.len() {
+                scores.select_nth_unstable(most);
+                scores.truncate(most);
+            }
+            scores.sort_unstable();
+            for (rank, &(score, pilot)) in scores.iter().enumerate() {
+                order[pilot].push((rank, score, endpoint));
+            }
+        }
+        let lowest = |mut order: Vec<(usize, u64, u32)>| {
+            assert!(order.len() >= service.size.min(listed.len()), "{} in the order", order.len());
+            order.sort_unstable();
+            order.truncate(service.size);
+            order.into_iter().map(|(_, _, endpoint)| endpoint).collect()
+        };
+        Holdings(order.into_iter().map(lowest).collect())
+    }
+
+    /// By endpoint: how many pilots hold it.
+    fn holders(&self, endpoints: u32) -> Vec<u32> {
+        let mut holders = vec![0; endpoints as usize];
+        self.0.iter().flatten().for_each(|&endpoint| holders[endpoint as usize] += 1);
+        holders
+    }
+
+    /// Endpoints taken up by pilots that both have, and how many pilots took up any.
+    fn moved_to(&self, other: &Holdings) -> (usize, usize) {
+        let taken_up = |(before, after): (&Vec<u32>, &Vec<u32>)| {
+            let before: BTreeSet<&u32> = before.iter().collect();
+            after.iter().filter(|endpoint| !before.contains(endpoint)).count()
+        };
+        let taken_up: Vec<usize> = self.0.iter().zip(&other.0).map(taken_up).collect();
+        (taken_up.iter().sum(), taken_up.iter().filter(|count| **count > 0).count())
+    }
+}
+
+/// Most and least over the mean.
+fn extremes(holders: impl Iterator<Item = u32> + Clone) -> (f64, f64) {
+    let mean = holders.clone().map(f64::from).sum::<f64>() / holders.clone().count() as f64;
+    let most = holders.clone().max().unwrap_or(0);
+    let least = holders.min().unwrap_or(0);
+    (f64::from(most) / mean, f64::from(least) / mean)
+}
+
+fn assert_even(service: Service) {
+    let holders = Holdings::of(service, 0..service.endpoints).holders(service.endpoints);
+    let of = |member: &dyn Fn(u32) -> bool| -> Vec<u32> {
+        (0..service.endpoints).filter(|e| member(*e)).map(|e| holders[e as usize]).collect()
+    };
+    let all_mean = f64::from(holders.iter().sum::<u32>()) / f64::from(service.endpoints);
+    let mut groups = vec![("all".to_owned(), of(&|_| true))];
+    groups.extend((0..ZONES).map(|z| (format!("zone {z}"), of(&|e| zone(e) == z))));
+    groups.extend((0..KINDS).map(|k| (format!("kind {k}"), of(&|e| kind(e) == k))));
+    for (what, group) in groups {
+        let (most, least) = extremes(group.iter().copied());
+        let mean = f64::from(group.iter().sum::<u32>()) / group.len() as f64;
+        println!(
+            "{} endpoints, {} pilots, {what}: mean {mean:.2}, most {most:.3}, least {least:.3} of it",
+            service.endpoints, service.pilots
+        );
+        assert!(most <= 1.25 && least >= 0.8, "{what}: most {most:.3}, least {least:.3} of the mean");
+        assert!((mean / all_mean - 1.0).abs() <= 0.05, "{what}: mean {mean:.2}, of all {all_mean:.2}");
+    }
+}
+
+#[test]
+fn the_largest_services_endpoints_are_held_evenly_by_zone_and_by_kind_too() {
+    assert_even(LARGEST);
+}
+
+#[test]
+fn a_small_services_endpoints_are_held_evenly_by_zone_and_by_kind_too() {
+    assert_even(SMALL);
+}
+
+#[test]
+fn with_few_pilots_a_long_list_is_held_by_enough_of_them() {
+    for (pilots, endpoints) in [(12, 1500), (40, 6000)] {
+        let size = subset(Service { endpoints, pilots, size: SUBSET_SIZE }, 0).size();
+        let service = Service { endpoints, pilots, size };
+        let holders = Holdings::of(service, 0..endpoints).holders(endpoints);
+        let least = *holders.iter().min().unwrap();
+        println!("{endpoints} endpoints, {pilots} pilots: {size} each, at least {least} pilots an endpoint");
+        assert!(least as usize >= LEAST_HOLDERS - 2, "held by {least}");
+    }
+}
+
+fn entry(endpoint: u32) -> Entry {
+    let incarnation = Incarnation { started: None, created: Revision(0) };
+    let zone = ZoneId(zone(endpoint));
+    Entry {
+        incarnation,
+        dial: None,
+        zone,
+        kind: kind(endpoint),
+        weight: 1.0,
+        standing: ServingState::Running,
+    }
+}
+
+/// What a pilot itself makes of the whole list.
+fn subset(service: Service, me: usize) -> Subset {
+    let settings =
+        Settings { me, pilots: service.pilots, size: service.size, warm_up: Duration::from_secs(10) };
+    let mut subset = Subset::new(settings);
+    let listed = |e| Change { name: name(e).into(), entry: Some(entry(e)) };
+    let entries = (0..service.endpoints).map(listed).collect();
+    subset.apply(Duration::from_secs(100), Changes { whole: true, entries });
+    subset
+}
+
+#[test]
+fn pilots_hold_what_was_worked_out_for_all_of_them_at_once() {
+    for (service, pilots) in [(LARGEST, vec![0, 1_000, 2_139]), (SMALL, (0..200).collect())] {
+        let holdings = Holdings::of(service, 0..service.endpoints);
+        for me in pilots {
+            let held: BTreeSet<String> =
+                subset(service, me).held_names().map(|name| name.to_string()).collect();
+            let expected: BTreeSet<String> = holdings.0[me].iter().map(|endpoint| name(*endpoint)).collect();
+            // Floors may have added a few.
+            assert!(held.is_superset(&expected), "pilot {me}");
+            let floors = ZONES as usize * (ZONE_FLOOR + WARM_ZONE_FLOOR);
+            assert!(held.len() <= service.size + floors, "pilot {me}: {}", held.len());
+        }
+    }
+}
+
+#[test]
+fn one_endpoint_come_or_gone_concerns_only_pilots_that_hold_it() {
+    for service in [LARGEST, SMALL] {
+        let full = Holdings::of(service, 0..service.endpoints);
+        for gone in [0, service.endpoints / 2, service.endpoints - 1] {
+            let without = Holdings::of(service, (0..service.endpoints).filter(|e| *e != gone));
+            let pairs = full.0.iter().zip(&without.0);
+            let (mut concerned, mut untouched) = (0, 0);
+            for (with, without) in pairs {
+                let held = with.contains(&gone);
+                let (with, without): (BTreeSet<_>, BTreeSet<_>) =
+                    (with.iter().collect(), without.iter().collect());
+                let left = with.difference(&without).count();
+                let came = without.difference(&with).count();
+                assert_eq!((left, came), (usize::from(held), usize::from(held)));
+                concerned += usize::from(held);
+                untouched += usize::from(!held);
+            }
+            println!(
+                "{} endpoints: one gone concerns {concerned} pilots, not {untouched}",
+                service.endpoints
+            );
+        }
+    }
+}
+
+#[test]
+fn one_pilot_more_or_fewer_moves_about_its_own_share() {
+    for service in [LARGEST, SMALL] {
+        let before = Holdings::of(service, 0..service.endpoints);
+        let more = Service { pilots: service.pilots + 1, ..service };
+        let after = Holdings::of(more, 0..service.endpoints);
+        for (what, (moved, pilots)) in [("more", before.moved_to(&after)), ("fewer", after.moved_to(&before))]
+        {
+            let shares = moved as f64 / service.size as f64;
+            println!(
+                "{} endpoints, one pilot {what}: {moved} taken up by {pilots} pilots, {shares:.2} of its own share",
+                service.endpoints
+            );
+            assert!(shares <= 3.0, "one pilot {what}: {shares:.2} shares moved");
+        }
+    }
+}
+
+#[test]
+fn a_zone_lost_leaves_full_subsets_and_no_endpoint_with_half_as_many_pilots_again() {
+    for service in [LARGEST, SMALL] {
+        let left: Vec<u32> = (0..service.endpoints).filter(|endpoint| zone(*endpoint) != 2).collect();
+        let holdings = Holdings::of(service, left.iter().copied());
+        assert!(holdings.0.iter().all(|held| held.len() == service.size));
+        let holders = holdings.holders(service.endpoints);
+        let (most, least) = extremes(left.iter().map(|endpoint| holders[*endpoint as usize]));
+        println!(
+            "{} endpoints, a zone lost: most {most:.3}, least {least:.3} of the mean",
+            service.endpoints
+        );
+        assert!(most <= 1.5, "most {most:.3} of the mean");
+    }
+}
+
+#[test]
+fn a_pilot_that_hears_of_a_lost_zone_replaces_it_in_that_moment() {
+    for (service, pilots) in [(LARGEST, vec![0, 1_000, 2_139]), (SMALL, (0..200).collect())] {
+        let lost = (0..service.endpoints).filter(|endpoint| zone(*endpoint) == 2);
+        let gone = |endpoint| Change { name: name(endpoint).into(), entry: None };
+        let list = Changes { whole: false, entries: lost.map(gone).collect() };
+        for me in pilots {
+            let mut subset = subset(service, me);
+            let updates = subset.apply(Duration::from_secs(200), list.clone()).unwrap();
+            assert!(subset.held() >= service.size, "pilot {me} holds {}", subset.held());
+            let gone = updates.entries.iter().filter(|update| update.state == UpdateState::Gone).count();
+            assert!(gone > 0 && updates.taken_up > 0 && updates.released == 0);
+            assert_eq!(updates.entries.len(), gone + updates.taken_up);
+        }
+    }
+}
