A released endpoint that still warms up leaves its tables as an eased one, not with the pace

Cause: released lines wait for the pace of ordinary moves, a second and more in a burst; a cold one left in a table that long can get all second tries of its neighbours (rule 4; tests/ramping.rs). Change: among released endpoints those that warm up count as eased, under the same cap of messages.

--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -7,7 +7,7 @@
 //! (Compare rendezvous hashing, where the endpoint's score alone decides, deterministic subsetting in Google's book on
 //! site reliability engineering, and Twitter's aperture.)
 //!
-//! No socket, file or clock: times are spans change in.
+//! No socket, file or clock: times are spans handed in.
 //!
 //! ```
 //! use std::time::Duration;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -701,8 +701,7 @@
         let moved = |&e: &usize| (weight[e] - sent[e]).abs() > WORTH_PUSHING * sent[e];
         let mut due: Vec<usize> = (0..weight.len()).filter(moved).collect();
         let gone = |e: usize| sent[e] > 0.0 && !self.fleet.usable(e) && !self.fleet.released[e];
-        let eased = |e: usize| weight[e] < sent[e] && self.ramping(e) && !self.fleet.released[e];
-        let urgent = |e: usize| gone(e) || eased(e);
+        let urgent = |e: usize| gone(e) || (weight[e] < sent[e] && self.ramping(e));
         let (any_gone, some) = (due.iter().any(|&e| gone(e)), due.iter().filter(|&&e| urgent(e)).count());
         // What is gone or eased goes first; where little would stay, what comes: no table goes empty.
         let stays: f64 = sent.iter().zip(weight).map(|(sent, weight)| sent.min(*weight)).sum();
