Rename the registry follower's pauses and budget to backoff and token bucket

Cause: the names pause and budget are not the field's terms, and renames belong apart from other work. Change: Limits::first_pause and longest_pause are now initial_backoff and max_backoff; inside, Pauses is Backoff, Budget is TokenBucket, and pause.rs is backoff.rs. Users are adapted. Result: no behaviour changes.

--- a/crates/registry/src/pause.rs
+++ b/crates/registry/src/backoff.rs
@@ -5,18 +5,18 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-/// Pauses that grow with each failure and differ from one follower to the next, so that hundreds that lost the same
+/// Backoff that grows with each failure and differs from one follower to the next, so that hundreds that lost the same
 /// server do not come back at once (decorrelated jitter).
-pub(crate) struct Pauses {
+pub(crate) struct Backoff {
     first: Duration,
     longest: Duration,
     last: Duration,
     chance: ChaCha8Rng,
 }
 
-impl Pauses {
-    pub fn new(first: Duration, longest: Duration, chance: ChaCha8Rng) -> Pauses {
-        Pauses { first, longest, last: first, chance }
+impl Backoff {
+    pub fn new(first: Duration, longest: Duration, chance: ChaCha8Rng) -> Backoff {
+        Backoff { first, longest, last: first, chance }
     }
 
     /// What was tried worked.
@@ -35,16 +35,16 @@
 const LEAST: Duration = Duration::from_millis(1);
 
 /// A bucket: so many at once, so many a minute.
-pub(crate) struct Budget {
+pub(crate) struct TokenBucket {
     most: f64,
     per_minute: f64,
     left: f64,
     at: Duration,
 }
 
-impl Budget {
-    pub fn new(most: f64, per_minute: f64) -> Budget {
-        Budget { most, per_minute, left: most, at: Duration::ZERO }
+impl TokenBucket {
+    pub fn new(most: f64, per_minute: f64) -> TokenBucket {
+        TokenBucket { most, per_minute, left: most, at: Duration::ZERO }
     }
 
     /// Takes one, or tells when there is one.
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -12,8 +12,8 @@
 use dahliaroad_fleet::{EntryUpdate, Epoch, Revision, SourceMessage};
 use rand_chacha::ChaCha8Rng;
 
+use crate::backoff::{Backoff, TokenBucket};
 use crate::member::Members;
-use crate::pause::{Budget, Pauses};
 
 /// How a registry is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +29,8 @@
     pub answer: Duration,
     /// A watch that has been silent for so long is asked for a sign.
     pub nudge: Duration,
-    pub first_pause: Duration,
-    pub longest_pause: Duration,
+    pub initial_backoff: Duration,
+    pub max_backoff: Duration,
     /// Entries of a page.
     pub page: u32,
     /// Reads of the whole, at once and a minute.
@@ -52,8 +52,8 @@
             connect: Duration::from_secs(1),
             answer: Duration::from_secs(2),
             nudge: Duration::from_secs(2),
-            first_pause: Duration::from_millis(50),
-            longest_pause: Duration::from_secs(5),
+            initial_backoff: Duration::from_millis(50),
+            max_backoff: Duration::from_secs(5),
             page: 500,
             rereads: 20.0,
             rereads_per_minute: 60.0,
@@ -217,9 +217,9 @@
     named: bool,
     members: Members,
     stage: Stage,
-    pauses: Pauses,
-    rereads: Budget,
-    polls: Budget,
+    backoff: Backoff,
+    rereads: TokenBucket,
+    polls: TokenBucket,
     page: u32,
     /// Pages of this size were too large.
     too_large: u32,
@@ -251,9 +251,9 @@
             named,
             members: Members::new(members, first),
             stage: Stage::Connecting,
-            pauses: Pauses::new(limits.first_pause, limits.longest_pause, chance),
-            rereads: Budget::new(limits.rereads, limits.rereads_per_minute),
-            polls: Budget::new(8.0, 60.0 / limits.floor.as_secs_f64().max(0.001)),
+            backoff: Backoff::new(limits.initial_backoff, limits.max_backoff, chance),
+            rereads: TokenBucket::new(limits.rereads, limits.rereads_per_minute),
+            polls: TokenBucket::new(8.0, 60.0 / limits.floor.as_secs_f64().max(0.001)),
             page: limits.page.max(1),
             too_large: u32::MAX,
             compacted_in_a_row: 0,
@@ -322,7 +322,7 @@
     /// The registry is at other members now, and a link to the first of them is up.
     pub fn moved(&mut self, members: usize) {
         self.members = Members::new(members, 0);
-        self.pauses.reset();
+        self.backoff.reset();
         self.enter();
     }
 
@@ -386,7 +386,7 @@
     }
 
     fn rest(&mut self, now: Duration) {
-        self.stage = Stage::Resting(now + self.pauses.next());
+        self.stage = Stage::Resting(now + self.backoff.next());
     }
 
     /// The member is behind what is known: another is asked. Where all are, a read that the leader vouches for tells
@@ -455,7 +455,7 @@
 
     /// The link has carried something that was of use.
     fn healthy(&mut self) {
-        self.pauses.reset();
+        self.backoff.reset();
         self.members.fit();
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,12 +3,12 @@
 //! [`Follower`] decides what to ask next, whom, and what an answer is worth; it knows no socket and no clock.
 //! [`etcd`] and [`consul`] put its questions to servers of the two protocols, and [`follow`] drives it.
 
+mod backoff;
 pub mod consul;
 mod drive;
 pub mod etcd;
 mod follower;
 mod member;
-mod pause;
 pub mod values;
 
 pub use drive::{Place, Protocol, follow};
--- a/crates/registry/tests/follower.rs
+++ b/crates/registry/tests/follower.rs
@@ -543,7 +543,7 @@
     assert!(sum as f64 / 1200.0 < 15.0, "{sum}");
     assert!(most < 40, "{most} at once");
     back.sort();
-    assert!(back[count as usize - 1] <= Limits::default().longest_pause, "{:?}", back.last());
+    assert!(back[count as usize - 1] <= Limits::default().max_backoff, "{:?}", back.last());
     assert!(back[count as usize / 2] > Duration::from_millis(300), "{:?}", back[150]);
 }
 
