--- /dev/null
+++ b/crates/registry/src/follower/polling.rs
@@ -0,0 +1,71 @@
+//! Blocking reads: each answer is a full snapshot with an index, and the next request waits for a higher one.
+
+use std::time::Duration;
+
+use dahliaroad_fleet::{EntryUpdate, Revision, SourceMessage};
+
+use super::state::State;
+use super::{Ask, Failure, Follower};
+
+impl Follower {
+    /// The next blocking read, and its timeout.
+    pub(super) fn poll_request(&self, fresh: bool) -> (Ask, Duration) {
+        // The leader is to vouch for what is there now: that read does not wait.
+        let (index, wait) = match fresh {
+            true => (0, Duration::ZERO),
+            false => (self.position.resume_or_zero().0, self.limits.wait),
+        };
+        // A registry adds up to a sixteenth to the wait, as jitter.
+        (Ask::Poll { index, wait, fresh }, wait + wait / 16 + self.limits.answer)
+    }
+
+    /// Handles the snapshot of a blocking read.
+    pub(super) fn on_polled(
+        &mut self,
+        now: Duration,
+        index: u64,
+        led: bool,
+        age: Duration,
+        entries: Vec<EntryUpdate>,
+    ) -> Option<SourceMessage> {
+        let State::Polling { fresh } = self.state else { return None };
+        if self.exceeds_limit(now, entries.len()) {
+            return None;
+        }
+        let revision = Revision(index);
+        let went_back = self.position.has_reported_beyond(revision);
+        let stale = !led || age > self.limits.oldest;
+        if (went_back || stale) && !fresh {
+            self.ask_leader(went_back);
+            return None;
+        }
+        if stale {
+            self.on_failure(now, Failure::Leaderless);
+            return None;
+        }
+        if went_back {
+            self.begin_epoch();
+        }
+        Some(self.accept_poll(revision, entries))
+    }
+
+    /// Repeats a read that nobody vouches for, or that is older than what is known, at the leader.
+    fn ask_leader(&mut self, lagging: bool) {
+        self.tally.lagging += usize::from(lagging);
+        self.state = State::Polling { fresh: true };
+    }
+
+    /// Reports a snapshot, or only its revision where that is known already.
+    fn accept_poll(&mut self, revision: Revision, entries: Vec<EntryUpdate>) -> SourceMessage {
+        self.tally.reads += 1;
+        self.state = State::Polling { fresh: false };
+        self.mark_healthy();
+        let epoch = self.position.epoch();
+        let known = self.position.advance(revision) == Some(revision);
+        // An index of 0 is none: it does not show that nothing has changed.
+        match known && revision.0 > 0 {
+            true => SourceMessage::Nothing { epoch, revision },
+            false => SourceMessage::Whole { epoch, revision, entries },
+        }
+    }
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,14 +1,13 @@
-//! Learns endpoints from a key-value registry and tells them as a source's words.
+//! Learns endpoints from a key-value registry and reports them as messages of a membership source.
 //!
-//! [`Follower`] decides what to ask next, whom, and what an answer is worth; it knows no socket and no clock.
-//! [`etcd`] and [`consul`] put its questions to servers of the two protocols, and [`follow`] drives it.
+//! [`Follower`] is the state machine that decides which request to send next, to which member, and what its answer
+//! means; it does no I/O and reads no clock. [`etcd`] and [`consul`] implement its requests for the two protocols, and
+//! [`follow`] drives it.
 
-mod backoff;
 pub mod consul;
 mod drive;
 pub mod etcd;
 mod follower;
-mod member;
 pub mod values;
 
 pub use drive::{Place, Protocol, follow};
