measure: sizes by rank keep their proportion; sampled services are summed up in print

Where many services have less than one pilot's part, one each was set aside first, so that the largest of 4,000 services had 1,692 of 19,000 pilots. Now only those below one get one, and the others share the rest in proportion.

--- a/crates/measure/src/hollow/report.rs
+++ b/crates/measure/src/hollow/report.rs
@@ -12,6 +12,8 @@
 use super::service::ServiceFigures;
 
 const BYTES_PER_MB: f64 = 1_048_576.0;
+/// Sampled services that are printed one by one.
+const SAMPLED_SHOWN: usize = 5;
 
 /// The median, the 99th percentile and the most of some figures.
 #[derive(Clone, Copy, Debug, Default)]
@@ -186,7 +188,6 @@
             "requests_per_proxy": settings.requests_per_proxy, "change_factor": settings.change_factor,
             "seed": settings.seed, "threads": settings.threads,
             "largest_service": {"endpoints": largest.endpoints, "pilots": largest.pilots, "zones": largest.zones.len()},
-            "sampled": self.sampled(),
         })
     }
 
@@ -243,6 +244,7 @@
         json!({
             "machine": {"cores": cores, "processor": processor, "memory_mb": memory_bytes >> 20},
             "sizes": self.sizes(),
+            "sampled": self.sampled(),
             "repeatable": self.repeatable(),
             "measured": self.measured(),
         })
@@ -254,7 +256,12 @@
         let Machine { cores, processor, memory_bytes } = self.machine;
         writeln!(formatter, "machine: {cores} cores, {processor}, {} MB", memory_bytes >> 20)?;
         writeln!(formatter, "sizes: {}", self.sizes())?;
-        self.sampled().iter().try_for_each(|line| writeln!(formatter, "SAMPLED: {line}"))?;
+        let sampled = self.sampled();
+        let shown = sampled.iter().take(SAMPLED_SHOWN);
+        shown.into_iter().try_for_each(|line| writeln!(formatter, "SAMPLED: {line}"))?;
+        if let Some(more) = sampled.len().checked_sub(SAMPLED_SHOWN).filter(|more| *more > 0) {
+            writeln!(formatter, "SAMPLED: {more} more services")?;
+        }
         let (elapsed, peak) = (self.elapsed.as_secs_f64(), self.peak_bytes as f64 / BYTES_PER_MB);
         writeln!(formatter, "took {elapsed:.1} s; the process held at most {peak:.0} MB of heap")?;
         writeln!(formatter, "\n{:40} {:>12} {:>12} {:>12}", "of each pilot", "median", "99th", "most")?;
--- a/crates/measure/src/hollow/sizes.rs
+++ b/crates/measure/src/hollow/sizes.rs
@@ -60,17 +60,33 @@
 /// Shares `total` out in proportion to the weights, by largest remainder, at least one each. There are no more weights
 /// than there is to share out.
 fn apportion(total: usize, weights: &[f64]) -> Vec<usize> {
-    let sum: f64 = weights.iter().sum();
-    let spare = (total - weights.len()) as f64;
-    let exact: Vec<f64> = weights.iter().map(|weight| 1.0 + spare * weight / sum).collect();
+    let exact = at_least_one(total, weights);
     let mut counts: Vec<usize> = exact.iter().map(|part| *part as usize).collect();
-    let missing = total - counts.iter().sum::<usize>();
+    let missing = total.saturating_sub(counts.iter().sum());
     let mut order: Vec<usize> = (0..weights.len()).collect();
     order.sort_by(|&x, &y| exact[y].fract().total_cmp(&exact[x].fract()));
     order.into_iter().take(missing).for_each(|place| counts[place] += 1);
     counts
 }
 
+/// Exact parts: whoever would get less than one gets one, and the others share the rest.
+fn at_least_one(total: usize, weights: &[f64]) -> Vec<f64> {
+    let mut least = vec![false; weights.len()];
+    loop {
+        let ones = least.iter().filter(|least| **least).count();
+        let sum: f64 =
+            weights.iter().zip(&least).filter(|(_, least)| !**least).map(|(weight, _)| weight).sum();
+        let rest = (total - ones) as f64;
+        let part = |(weight, least): (&f64, &bool)| if *least { 1.0 } else { rest * weight / sum };
+        let parts: Vec<f64> = weights.iter().zip(&least).map(part).collect();
+        let below: Vec<usize> = (0..parts.len()).filter(|place| parts[*place] < 1.0).collect();
+        if below.is_empty() {
+            return parts;
+        }
+        below.into_iter().for_each(|place| least[place] = true);
+    }
+}
+
 /// The zones of one region; regions have as even a number of zones as can be.
 fn zones_of_region(settings: &Settings, region: usize) -> Range<usize> {
     let first = |region: usize| region * settings.zones / settings.regions;
--- a/crates/measure/tests/hollow.rs
+++ b/crates/measure/tests/hollow.rs
@@ -117,7 +117,7 @@
     let figures = figures("sample", &["--sample", "1"]);
     assert_eq!(figures["sizes"]["pilots"], 6);
     assert_eq!(figures["sizes"]["pilots_run"], 2);
-    assert_eq!(figures["sizes"]["sampled"].as_array().map(Vec::len), Some(2));
+    assert_eq!(figures["sampled"].as_array().map(Vec::len), Some(2));
     assert!(figures["machine"]["cores"].as_u64() > Some(0));
     for figure in ["processor_ms_per_s", "memory_mb"] {
         assert!(figures["measured"][figure]["median"].as_f64() > Some(0.0), "{figure}");
