--- a/crates/measure/src/process_scale/mod.rs
+++ b/crates/measure/src/process_scale/mod.rs
@@ -14,7 +14,7 @@
 use std::error::Error;
 use std::path::PathBuf;
 
-pub use plan::{Refused, Words};
+pub use plan::Words;
 use report::Size;
 
 type Res<T> = Result<T, Box<dyn Error>>;
