--- a/crates/measure/src/hollow/mod.rs
+++ b/crates/measure/src/hollow/mod.rs
@@ -9,7 +9,6 @@
 mod deployment;
 mod events;
 mod hollow_controller;
-mod machine;
 mod pilot;
 mod reactions;
 mod relay;
@@ -30,10 +29,10 @@
 use serde_json::Value;
 
 use crate::allocator::{peak_bytes, reset_peak};
+use crate::machine::Machine;
 
 pub use arguments::Arguments;
 use arguments::Settings;
-use machine::Machine;
 use report::Report;
 use service::ServiceFigures;
 use sizes::Service;
@@ -41,12 +40,17 @@
 /// The exit code for options that make no sense.
 const BAD_OPTIONS: u8 = 2;
 
+/// What a measurement may hold at most: half of the memory.
+fn budget_bytes(machine: &Machine) -> u64 {
+    (machine.memory_mb << 20) / 2
+}
+
 /// Checks the options, runs all services and prints the figures.
 pub fn measure(arguments: Arguments) -> ExitCode {
     let machine = Machine::read();
     let prepared = arguments.check().and_then(|settings| {
         let mut services = sizes::services(&settings);
-        capacity::fit(&settings, &mut services, machine.budget_bytes())?;
+        capacity::fit(&settings, &mut services, budget_bytes(&machine))?;
         Ok((settings, services))
     });
     let (settings, services) = match prepared {
--- a/crates/measure/src/hollow/pilot.rs
+++ b/crates/measure/src/hollow/pilot.rs
@@ -7,11 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::allocator::held_bytes;
+use crate::processor::timed;
 
 use super::deployment::{CLASSES, UNSERVED_GRACE, WARM_UP};
 use super::events::{Event, EventQueue};
 use super::hollow_controller::{HollowController, Input, NamedEntry};
-use super::machine::thread_processor_time;
 use super::reactions::{Reaction, ReactionKind, Reactions};
 use super::relay::{Carried, Proxy, Relay};
 use super::reports::{DemandSums, EndpointSums, demand, outcomes};
@@ -380,14 +380,12 @@
     /// Makes the calls of one turn; only this is the pilot's own work, and its processor time is taken.
     fn apply_all(&mut self, now: Duration, inputs: Vec<Input>) -> Vec<Orders> {
         self.usage.inputs += inputs.len();
-        let mut all = Vec::with_capacity(inputs.len() + 1);
-        let before = thread_processor_time();
-        for input in inputs {
-            all.push(self.controller.apply(now, input));
-        }
-        all.push(self.controller.apply_due(now));
-        self.usage.processor += thread_processor_time().saturating_sub(before);
-        all
+        let controller = &mut self.controller;
+        timed(&mut self.usage.processor, || {
+            let mut all: Vec<Orders> = inputs.into_iter().map(|input| controller.apply(now, input)).collect();
+            all.push(controller.apply_due(now));
+            all
+        })
     }
 
     /// Hands the orders of one turn to the relay, and schedules what comes back.
--- a/crates/measure/src/hollow/report.rs
+++ b/crates/measure/src/hollow/report.rs
@@ -5,8 +5,9 @@
 
 use serde_json::{Value, json};
 
+use crate::machine::Machine;
+
 use super::arguments::Settings;
-use super::machine::Machine;
 use super::pilot::PilotFigures;
 use super::reactions::{Reaction, ReactionKind};
 use super::service::ServiceFigures;
@@ -240,9 +241,8 @@
     }
 
     pub fn json(&self) -> Value {
-        let Machine { cores, processor, memory_bytes } = self.machine;
         json!({
-            "machine": {"cores": cores, "processor": processor, "memory_mb": memory_bytes >> 20},
+            "machine": self.machine,
             "sizes": self.sizes(),
             "sampled": self.sampled(),
             "repeatable": self.repeatable(),
@@ -253,8 +253,8 @@
 
 impl Display for Report<'_> {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
-        let Machine { cores, processor, memory_bytes } = self.machine;
-        writeln!(formatter, "machine: {cores} cores, {processor}, {} MB", memory_bytes >> 20)?;
+        let Machine { cores, processor, memory_mb, load_average, .. } = self.machine;
+        writeln!(formatter, "machine: {cores} cores, {processor}, {memory_mb} MB, load {load_average}")?;
         writeln!(formatter, "sizes: {}", self.sizes())?;
         let sampled = self.sampled();
         let shown = sampled.iter().take(SAMPLED_SHOWN);
--- a/crates/measure/tests/hollow.rs
+++ b/crates/measure/tests/hollow.rs
@@ -141,6 +141,7 @@
         &["--endpoints", "3", "--services", "4"],
         &["--regions", "9", "--zones", "8"],
         &["--pilots", "99999999999"],
+        &["--pilots", "many"],
         // Not one pilot before such a list fits into half of the memory.
         &["--one", "--endpoints", "1000000000"],
     ];
