measure: hollow counts the tries that stay within their zone

Half of the tries of a service in many zones failed or not as regions parted, and no figure told which crossed.

--- a/crates/measure/src/hollow/pilot.rs
+++ b/crates/measure/src/hollow/pilot.rs
@@ -38,6 +38,8 @@
     /// Tries of its proxies that collectors reported, and those that failed.
     pub tries: f64,
     pub failed_tries: f64,
+    /// Tries that did not cross zones.
+    pub tries_in_zone: f64,
     /// Calls of the module's methods.
     pub inputs: usize,
     /// Lines, admissions and bindings ordered.
@@ -369,6 +371,9 @@
             self.usage.bytes_in += outcomes_bytes(world, &name, &sums);
             self.usage.tries += sums.tries;
             self.usage.failed_tries += sums.failed;
+            if world.endpoints[sums.endpoint].zone == sums.zone {
+                self.usage.tries_in_zone += sums.tries;
+            }
             inputs.push(Input::EndpointReport { name, sums });
         }
         for sums in demand(&self.relay, &mut self.chance) {
--- a/crates/measure/src/hollow/report.rs
+++ b/crates/measure/src/hollow/report.rs
@@ -200,6 +200,7 @@
             "orders": self.sum(|pilot| pilot.measured.orders),
             "tries": self.sum_tries(|pilot| pilot.measured.tries),
             "failed_tries": self.sum_tries(|pilot| pilot.measured.failed_tries),
+            "tries_in_zone": self.sum_tries(|pilot| pilot.measured.tries_in_zone),
             "unserved_proxies": self.sum(|pilot| pilot.unserved),
             "late_drains": self.sum(|pilot| pilot.late),
             "unfinished": self.sum(|pilot| pilot.unfinished),
@@ -296,7 +297,11 @@
         writeln!(formatter, "least held of all zones: {:.3} of the mean", self.least_part())?;
         let tries = self.sum_tries(|pilot| pilot.measured.tries);
         let failed = self.sum_tries(|pilot| pilot.measured.failed_tries);
-        writeln!(formatter, "tries reported: {tries}, of which failed: {failed}")?;
+        let in_zone = self.sum_tries(|pilot| pilot.measured.tries_in_zone);
+        writeln!(
+            formatter,
+            "tries reported: {tries}, of which failed: {failed}, within the zone: {in_zone}"
+        )?;
         let (unserved, late) = (self.sum(|pilot| pilot.unserved), self.sum(|pilot| pilot.late));
         writeln!(formatter, "proxies without an endpoint to pick: {unserved}; drained endpoints late: {late}")
     }
