--- a/crates/measure/src/hollow/pilot.rs
+++ b/crates/measure/src/hollow/pilot.rs
@@ -389,6 +389,7 @@
         timed(&mut self.usage.processor, || {
             let mut all: Vec<Orders> = inputs.into_iter().map(|input| controller.apply(now, input)).collect();
             all.push(controller.apply_due(now));
+            all.extend(controller.replace_ejected(now));
             all
         })
     }
