--- a/crates/measure/src/hollow/pilot.rs
+++ b/crates/measure/src/hollow/pilot.rs
@@ -7,11 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::allocator::held_bytes;
+use crate::processor::timed;
 
 use super::deployment::{CLASSES, UNSERVED_GRACE, WARM_UP};
 use super::events::{Event, EventQueue};
 use super::hollow_controller::{HollowController, Input, NamedEntry};
-use super::machine::thread_processor_time;
 use super::reactions::{Reaction, ReactionKind, Reactions};
 use super::relay::{Carried, Proxy, Relay};
 use super::reports::{DemandSums, EndpointSums, demand, outcomes};
@@ -38,6 +38,8 @@
     /// Tries of its proxies that collectors reported, and those that failed.
     pub tries: f64,
     pub failed_tries: f64,
+    /// Tries that did not cross zones.
+    pub tries_in_zone: f64,
     /// Calls of the module's methods.
     pub inputs: usize,
     /// Lines, admissions and bindings ordered.
@@ -369,6 +371,9 @@
             self.usage.bytes_in += outcomes_bytes(world, &name, &sums);
             self.usage.tries += sums.tries;
             self.usage.failed_tries += sums.failed;
+            if world.endpoints[sums.endpoint].zone == sums.zone {
+                self.usage.tries_in_zone += sums.tries;
+            }
             inputs.push(Input::EndpointReport { name, sums });
         }
         for sums in demand(&self.relay, &mut self.chance) {
@@ -380,15 +385,13 @@
     /// Makes the calls of one turn; only this is the pilot's own work, and its processor time is taken.
     fn apply_all(&mut self, now: Duration, inputs: Vec<Input>) -> Vec<Orders> {
         self.usage.inputs += inputs.len();
-        let mut all = Vec::with_capacity(inputs.len() + 1);
-        let before = thread_processor_time();
-        for input in inputs {
-            all.push(self.controller.apply(now, input));
-        }
-        all.push(self.controller.apply_due(now));
-        all.extend(self.controller.replace_ejected(now));
-        self.usage.processor += thread_processor_time().saturating_sub(before);
-        all
+        let controller = &mut self.controller;
+        timed(&mut self.usage.processor, || {
+            let mut all: Vec<Orders> = inputs.into_iter().map(|input| controller.apply(now, input)).collect();
+            all.push(controller.apply_due(now));
+            all.extend(controller.replace_ejected(now));
+            all
+        })
     }
 
     /// Hands the orders of one turn to the relay, and schedules what comes back.
--- a/crates/measure/src/hollow/report.rs
+++ b/crates/measure/src/hollow/report.rs
@@ -5,13 +5,16 @@
 
 use serde_json::{Value, json};
 
+use crate::machine::Machine;
+
 use super::arguments::Settings;
-use super::machine::Machine;
 use super::pilot::PilotFigures;
 use super::reactions::{Reaction, ReactionKind};
 use super::service::ServiceFigures;
 
 const BYTES_PER_MB: f64 = 1_048_576.0;
+/// Sampled services that are printed one by one.
+const SAMPLED_SHOWN: usize = 5;
 
 /// The median, the 99th percentile and the most of some figures.
 #[derive(Clone, Copy, Debug, Default)]
@@ -186,7 +189,6 @@
             "requests_per_proxy": settings.requests_per_proxy, "change_factor": settings.change_factor,
             "seed": settings.seed, "threads": settings.threads,
             "largest_service": {"endpoints": largest.endpoints, "pilots": largest.pilots, "zones": largest.zones.len()},
-            "sampled": self.sampled(),
         })
     }
 
@@ -198,6 +200,7 @@
             "orders": self.sum(|pilot| pilot.measured.orders),
             "tries": self.sum_tries(|pilot| pilot.measured.tries),
             "failed_tries": self.sum_tries(|pilot| pilot.measured.failed_tries),
+            "tries_in_zone": self.sum_tries(|pilot| pilot.measured.tries_in_zone),
             "unserved_proxies": self.sum(|pilot| pilot.unserved),
             "late_drains": self.sum(|pilot| pilot.late),
             "unfinished": self.sum(|pilot| pilot.unfinished),
@@ -239,10 +242,10 @@
     }
 
     pub fn json(&self) -> Value {
-        let Machine { cores, processor, memory_bytes } = self.machine;
         json!({
-            "machine": {"cores": cores, "processor": processor, "memory_mb": memory_bytes >> 20},
+            "machine": self.machine,
             "sizes": self.sizes(),
+            "sampled": self.sampled(),
             "repeatable": self.repeatable(),
             "measured": self.measured(),
         })
@@ -251,10 +254,15 @@
 
 impl Display for Report<'_> {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
-        let Machine { cores, processor, memory_bytes } = self.machine;
-        writeln!(formatter, "machine: {cores} cores, {processor}, {} MB", memory_bytes >> 20)?;
+        let Machine { cores, processor, memory_mb, load_average, .. } = self.machine;
+        writeln!(formatter, "machine: {cores} cores, {processor}, {memory_mb} MB, load {load_average}")?;
         writeln!(formatter, "sizes: {}", self.sizes())?;
-        self.sampled().iter().try_for_each(|line| writeln!(formatter, "SAMPLED: {line}"))?;
+        let sampled = self.sampled();
+        let shown = sampled.iter().take(SAMPLED_SHOWN);
+        shown.into_iter().try_for_each(|line| writeln!(formatter, "SAMPLED: {line}"))?;
+        if let Some(more) = sampled.len().checked_sub(SAMPLED_SHOWN).filter(|more| *more > 0) {
+            writeln!(formatter, "SAMPLED: {more} more services")?;
+        }
         let (elapsed, peak) = (self.elapsed.as_secs_f64(), self.peak_bytes as f64 / BYTES_PER_MB);
         writeln!(formatter, "took {elapsed:.1} s; the process held at most {peak:.0} MB of heap")?;
         writeln!(formatter, "\n{:40} {:>12} {:>12} {:>12}", "of each pilot", "median", "99th", "most")?;
@@ -289,7 +297,11 @@
         writeln!(formatter, "least held of all zones: {:.3} of the mean", self.least_part())?;
         let tries = self.sum_tries(|pilot| pilot.measured.tries);
         let failed = self.sum_tries(|pilot| pilot.measured.failed_tries);
-        writeln!(formatter, "tries reported: {tries}, of which failed: {failed}")?;
+        let in_zone = self.sum_tries(|pilot| pilot.measured.tries_in_zone);
+        writeln!(
+            formatter,
+            "tries reported: {tries}, of which failed: {failed}, within the zone: {in_zone}"
+        )?;
         let (unserved, late) = (self.sum(|pilot| pilot.unserved), self.sum(|pilot| pilot.late));
         writeln!(formatter, "proxies without an endpoint to pick: {unserved}; drained endpoints late: {late}")
     }
