--- a/crates/measure/src/process_scale/mod.rs
+++ b/crates/measure/src/process_scale/mod.rs
@@ -17,6 +17,8 @@
 pub use plan::Words;
 use report::Size;
 
+use crate::machine::Machine;
+
 type Res<T> = Result<T, Box<dyn Error>>;
 
 /// The programs by turns in each run, so that what else the machine does falls on all of them alike.
@@ -42,7 +44,7 @@
         true => vec![crate::process::program()?],
         false => words.program.clone(),
     };
-    let machine = report::machine();
+    let machine = serde_json::to_value(Machine::read())?;
     println!("machine: {machine}");
     println!("plan: {}", report::plan(&words));
     let mut sizes = Vec::new();
--- a/crates/measure/src/process_scale/report.rs
+++ b/crates/measure/src/process_scale/report.rs
@@ -41,27 +41,6 @@
     ("first table after all were killed", "ms", |of| of.again_first_table_ms),
 ];
 
-fn line_of(path: &str, name: &str) -> String {
-    let text = std::fs::read_to_string(path).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim_start().strip_prefix(':'));
-    line.unwrap_or("unknown").trim().to_owned()
-}
-
-fn first_line(path: &str) -> String {
-    std::fs::read_to_string(path).unwrap_or_default().trim().to_owned()
-}
-
-/// The machine, and how busy it was.
-pub fn machine() -> Value {
-    json!({
-        "cores": std::thread::available_parallelism().map_or(0, usize::from),
-        "processor": line_of("/proc/cpuinfo", "model name"),
-        "memory": line_of("/proc/meminfo", "MemTotal"),
-        "kernel": first_line("/proc/sys/kernel/osrelease"),
-        "load": first_line("/proc/loadavg"),
-    })
-}
-
 /// What was asked for.
 pub fn plan(words: &Words) -> Value {
     json!({
