--- a/crates/pilot/tests/stage/mod.rs
+++ b/crates/pilot/tests/stage/mod.rs
@@ -3,6 +3,7 @@
 // Each file of tests uses a part of it.
 #![allow(dead_code)]
 
+pub mod outages;
 pub mod script;
 
 use std::cell::{Cell, RefCell};
--- a/examples/src/lib.rs
+++ b/examples/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use collector::{Collector, frame};
 pub use relay::Fault;
-pub use world::{Proxy, State, World};
+pub use world::{Proxy, SilentCalls, State, World};
 
 /// How long connections outlive the address that they were made to.
 const OUTLIVES: Duration = Duration::from_millis(1500);
--- a/examples/src/relay.rs
+++ b/examples/src/relay.rs
@@ -9,12 +9,15 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::interval;
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep};
 
-use crate::world::World;
+use crate::world::{SilentCalls, World};
 
 /// How a commit call begins; what asks for news does not.
 const COMMIT: &[u8] = br#"{"jsonrpc":"2.0","id":"#;
+/// How a silent relay looks whether it is to speak again.
+const SILENCE_CHECKED_EVERY: Duration = Duration::from_millis(5);
 
 /// What can befall a commit call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,7 +72,28 @@
     stand
 }
 
-async fn answer(stream: TcpStream, world: &World) -> io::Result<()> {
+/// What a silent relay does with a call that it has read. The connection stays open, and nothing is said on it any more.
+async fn keep_silent(line: &str, world: &Rc<World>) {
+    let call: Value = serde_json::from_str(line).unwrap_or_default();
+    let Some(orders) = call["params"]["ops"].as_array().cloned() else { return };
+    match world.silent_calls.get() {
+        SilentCalls::Lost => {}
+        SilentCalls::CarriedOut => drop(commit(&orders, world)),
+        SilentCalls::Late(after) => {
+            let world = world.clone();
+            spawn_local(async move {
+                while world.relay_silent.get() {
+                    sleep(SILENCE_CHECKED_EVERY).await;
+                }
+                sleep(after).await;
+                world.late_calls.set(world.late_calls.get() + usize::from(!orders.is_empty()));
+                commit(&orders, &world);
+            });
+        }
+    }
+}
+
+async fn answer(stream: TcpStream, world: &Rc<World>) -> io::Result<()> {
     let (mut stream, mut line) = (BufReader::new(stream), String::new());
     loop {
         let cut = world.faults.borrow().front().copied();
@@ -84,6 +108,7 @@
             return Ok(());
         }
         if world.relay_silent.get() {
+            keep_silent(&line, world).await;
             std::future::pending::<()>().await;
         }
         let call: Value = serde_json::from_str(&line).unwrap_or_default();
--- a/examples/src/world.rs
+++ b/examples/src/world.rs
@@ -3,13 +3,24 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
 
 use crate::relay::Fault;
 
+/// What becomes of the commit calls that a silent relay is sent; none of them is answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SilentCalls {
+    #[default]
+    Lost,
+    CarriedOut,
+    /// Carried out so long after the relay is heard again, whether or not the caller has given them up.
+    Late(Duration),
+}
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -70,6 +81,11 @@
     /// Discovery takes calls and answers none; so does the relay, its news included.
     pub discovery_silent: Cell<bool>,
     pub relay_silent: Cell<bool>,
+    pub silent_calls: Cell<SilentCalls>,
+    /// How many calls a silence had carried out late.
+    pub late_calls: Cell<usize>,
+    /// Each message that reached a proxy, and when.
+    pub delivered: RefCell<Vec<(Instant, u32)>>,
     /// The next answer's connection breaks instead.
     pub discovery_breaks: Cell<bool>,
     /// Discovery answers so, whatever is asked.
@@ -224,6 +240,7 @@
         for node in &reached {
             if let Some(proxy) = self.proxies.borrow_mut().get_mut(node) {
                 proxy.messages += 1;
+                self.delivered.borrow_mut().push((Instant::now(), *node));
                 let hold = |(class, table): (&String, &u32)| {
                     (class.clone(), tables.get(table).cloned().unwrap_or_default())
                 };
