--- a/crates/registry/src/follower/recovery.rs
+++ b/crates/registry/src/follower/recovery.rs
@@ -30,6 +30,8 @@
     fn on_compacted(&mut self) {
         self.tally.compacted += 1;
         self.compactions_in_a_row += 1;
+        // A connection that breaks under the read leads to another read, not to the same compaction first.
+        self.position.clear_resume();
         if matches!(self.state, State::ReadingSnapshot(_)) {
             self.page_size.grow();
         }
--- a/crates/registry/tests/follower.rs
+++ b/crates/registry/tests/follower.rs
@@ -437,6 +437,28 @@
     assert_eq!(world.follower.tally.compacted, 1);
 }
 
+/// Each broken read led back to the watch that had been compacted away: three answers had to come through in place of one.
+#[test]
+fn a_read_that_breaks_behind_a_compaction_is_begun_anew_and_the_compaction_not_found_again() {
+    let mut world = watching(10, 1);
+    world.faults.push(Fault::Cut);
+    world.play(1);
+    (3..6).for_each(|place| world.registry.delete(&name(place)));
+    world.registry.compacted = world.registry.revision();
+    while world.follower.tally.compacted == 0 {
+        world.play(1);
+    }
+    for _ in 0..5 {
+        world.faults.push(Fault::Cut);
+        world.play(1);
+        while !matches!(world.last, Some(Ask::Read { .. })) {
+            world.play(1);
+        }
+    }
+    world.settle(10);
+    assert_eq!(world.follower.tally.compacted, 1);
+}
+
 #[test]
 fn compaction_behind_every_read_ends_in_the_true_state_all_the_same() {
     let mut world = World::new(Means::Watch, 1, 5, limits());
--- a/crates/standins/src/gate.rs
+++ b/crates/standins/src/gate.rs
@@ -60,6 +60,11 @@
         self.counts.cut_at.store(self.counts.bytes.load(Relaxed) + bytes.max(1), Relaxed);
     }
 
+    /// What was armed by [`Gate::cut_after`] and has not been reached cuts nothing any more.
+    pub fn disarm(&self) {
+        self.counts.cut_at.store(0, Relaxed);
+    }
+
     pub fn set_silent(&self, silent: bool) {
         self.rules.send_modify(|rules| rules.silent = silent);
     }
