--- a/crates/pilot/src/pause.rs
+++ b/crates/pilot/src/backoff.rs
@@ -8,16 +8,16 @@
 
 /// Pauses that double with each failure, half of each by chance, so that pilots that lost a peer at one moment do not come
 /// back in step. Chance is each pilot's own, by its seed.
-pub struct Pause {
+pub struct Backoff {
     first: Duration,
     longest: Duration,
     next: Duration,
     chance: ChaCha8Rng,
 }
 
-impl Pause {
-    pub fn new(first: Duration, longest: Duration, chance: ChaCha8Rng) -> Pause {
-        Pause { first, longest, next: first, chance }
+impl Backoff {
+    pub fn new(first: Duration, longest: Duration, chance: ChaCha8Rng) -> Backoff {
+        Backoff { first, longest, next: first, chance }
     }
 
     /// What was tried worked.
@@ -26,14 +26,14 @@
     }
 
     /// How long the next one is.
-    pub fn draw(&mut self) -> Duration {
-        let pause = self.next.mul_f64(self.chance.random_range(0.5..=1.0));
+    pub fn next_delay(&mut self) -> Duration {
+        let delay = self.next.mul_f64(self.chance.random_range(0.5..=1.0));
         self.next = (self.next * 2).min(self.longest);
-        pause
+        delay
     }
 
-    pub async fn take(&mut self) {
-        sleep(self.draw()).await;
+    pub async fn wait(&mut self) {
+        sleep(self.next_delay()).await;
     }
 }
 
@@ -50,12 +50,12 @@
     fn storm(followers: u64) -> (BTreeMap<u128, usize>, usize) {
         let (mut moments, mut most) = (BTreeMap::new(), 0);
         for seed in 0..followers {
-            let mut pause = Pause::new(50 * MS, 800 * MS, ChaCha8Rng::seed_from_u64(seed));
-            let (mut at, mut tries) = (pause.draw(), 0);
+            let mut backoff = Backoff::new(50 * MS, 800 * MS, ChaCha8Rng::seed_from_u64(seed));
+            let (mut at, mut tries) = (backoff.next_delay(), 0);
             while at < BROKEN {
                 *moments.entry(at.as_millis() / 10).or_insert(0) += 1;
                 tries += 1;
-                at += pause.draw();
+                at += backoff.next_delay();
             }
             most = most.max(tries);
         }
@@ -74,11 +74,11 @@
     }
 
     #[test]
-    fn what_worked_begins_with_the_first_pause_again() {
-        let mut pause = Pause::new(50 * MS, 800 * MS, ChaCha8Rng::seed_from_u64(1));
-        (0..9).for_each(|_| assert!(pause.draw() <= 800 * MS));
-        assert!(pause.draw() >= 400 * MS);
-        pause.reset();
-        assert!(pause.draw() <= 50 * MS);
+    fn what_worked_begins_with_the_first_delay_again() {
+        let mut backoff = Backoff::new(50 * MS, 800 * MS, ChaCha8Rng::seed_from_u64(1));
+        (0..9).for_each(|_| assert!(backoff.next_delay() <= 800 * MS));
+        assert!(backoff.next_delay() >= 400 * MS);
+        backoff.reset();
+        assert!(backoff.next_delay() <= 50 * MS);
     }
 }
--- a/crates/pilot/src/collectors.rs
+++ b/crates/pilot/src/collectors.rs
@@ -164,7 +164,7 @@
 async fn take_in<'a>(
     stream: &mut TcpStream,
     buffer: &'a mut Vec<u8>,
-    visit: &Visit,
+    permit: &ConnectionPermit,
 ) -> io::Result<Option<&'a [u8]>> {
     let mut head = [0; 4];
     if timeout(SILENT, stream.read(&mut head[..1])).await?? == 0 {
@@ -173,10 +173,10 @@
     let rest = async {
         stream.read_exact(&mut head[1..]).await?;
         let length = u32::from_le_bytes(head);
-        if length > if visit.is_known() { LONGEST } else { STRANGERS_LONGEST } {
+        if length > if permit.is_known() { LONGEST } else { STRANGERS_LONGEST } {
             return Err(unfit("too long a frame", &head));
         }
-        let Some(_room) = visit.room_for(length) else { return Err(unfit("no room for a frame", &head)) };
+        let Some(_room) = permit.room_for(length) else { return Err(unfit("no room for a frame", &head)) };
         buffer.clear();
         buffer.shrink_to(KEPT);
         // Grows with what arrives: a length alone costs no memory.
@@ -187,11 +187,16 @@
     Ok(Some(buffer))
 }
 
-async fn serve(stream: &mut TcpStream, visit: &Visit, terms: &Terms, inbox: &Inbox) -> io::Result<()> {
+async fn serve(
+    stream: &mut TcpStream,
+    permit: &ConnectionPermit,
+    terms: &Terms,
+    inbox: &Inbox,
+) -> io::Result<()> {
     let (mut buffer, mut spoilt) = (Vec::new(), 0);
     let mut first_by = Some(Instant::now() + WITHIN);
     loop {
-        let taken = take_in(stream, &mut buffer, visit);
+        let taken = take_in(stream, &mut buffer, permit);
         let taken = match first_by.take() {
             Some(by) => timeout_at(by, taken).await??,
             None => taken.await?,
@@ -203,15 +208,15 @@
                 timeout(WRITE_WITHIN, stream.write_all(ALIVE)).await??;
                 counters::ALIVE.add(1);
             }
-            Some(SourceMessage::Zone) => visit.make_known(),
-            Some(SourceMessage::Sums(call)) if visit.is_known() => {
-                visit.make_known();
+            Some(SourceMessage::Zone) => permit.make_known(),
+            Some(SourceMessage::Sums(call)) if permit.is_known() => {
+                permit.make_known();
                 spoilt = 0;
                 counters::SUMS.add(1);
                 inbox.tell(call).await;
             }
             // One spoilt message says nothing about those around it.
-            None if visit.is_known() && spoilt < SPOILT_IN_A_ROW => {
+            None if permit.is_known() && spoilt < SPOILT_IN_A_ROW => {
                 spoilt += 1;
                 counters::SPOILT.add(1);
                 tracing::warn!("collectors: left out: {}", shown(bytes));
@@ -221,10 +226,10 @@
     }
 }
 
-/// Who is connected, by the number of the visit. Strangers give way to newcomers, the oldest first, so that they
+/// Who is connected, by the number of the permit. Strangers give way to newcomers, the oldest first, so that they
 /// cannot keep collectors out; of collectors the one unheard for longest does, which has vanished most likely.
-struct House {
-    visits: u64,
+struct ConnectionLimit {
+    permits: u64,
     strangers: BTreeMap<u64, AbortHandle>,
     /// Beside it, when it was heard last.
     known: BTreeMap<u64, (AbortHandle, Instant)>,
@@ -234,39 +239,39 @@
     most: usize,
 }
 
-/// One connection's place in the house, given back when it is dropped.
-struct Visit {
+/// One connection's place in the limit, given back when it is dropped.
+struct ConnectionPermit {
     number: u64,
-    house: Rc<RefCell<House>>,
+    limit: Rc<RefCell<ConnectionLimit>>,
 }
 
 /// The room that a long frame takes, given back when it is dropped.
-struct Room<'a>(usize, &'a RefCell<House>);
+struct Room<'a>(usize, &'a RefCell<ConnectionLimit>);
 
-impl Visit {
+impl ConnectionPermit {
     fn is_known(&self) -> bool {
-        self.house.borrow().known.contains_key(&self.number)
+        self.limit.borrow().known.contains_key(&self.number)
     }
 
     fn make_known(&self) {
-        let house = &mut *self.house.borrow_mut();
-        if let Some((_, heard)) = house.known.get_mut(&self.number) {
+        let limit = &mut *self.limit.borrow_mut();
+        if let Some((_, heard)) = limit.known.get_mut(&self.number) {
             *heard = Instant::now();
-        } else if let Some(task) = house.strangers.remove(&self.number) {
-            let unheard = house.known.values().min_by_key(|(_, heard)| *heard);
-            if let Some((longest, _)) = unheard.filter(|_| house.known.len() >= house.most) {
+        } else if let Some(task) = limit.strangers.remove(&self.number) {
+            let unheard = limit.known.values().min_by_key(|(_, heard)| *heard);
+            if let Some((longest, _)) = unheard.filter(|_| limit.known.len() >= limit.most) {
                 longest.abort();
                 counters::STRANGERS.add(1);
             }
-            house.known.insert(self.number, (task, Instant::now()));
+            limit.known.insert(self.number, (task, Instant::now()));
         }
     }
 
     fn room_for(&self, length: u32) -> Option<Room<'_>> {
         let length = if length as usize > KEPT { length as usize } else { 0 };
-        let house = &mut *self.house.borrow_mut();
-        house.room = house.room.checked_sub(length)?;
-        Some(Room(length, &self.house))
+        let limit = &mut *self.limit.borrow_mut();
+        limit.room = limit.room.checked_sub(length)?;
+        Some(Room(length, &self.limit))
     }
 }
 
@@ -276,19 +281,20 @@
     }
 }
 
-impl Drop for Visit {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
-        let house = &mut *self.house.borrow_mut();
-        house.strangers.remove(&self.number);
-        house.known.remove(&self.number);
+        let limit = &mut *self.limit.borrow_mut();
+        limit.strangers.remove(&self.number);
+        limit.known.remove(&self.number);
     }
 }
 
 pub async fn listen(listener: TcpListener, terms: Terms, limits: Limits, inbox: Inbox) {
     // A quarter of the descriptors each for strangers and collectors; frames may be twice as large in memory.
     let (most, room) = (limits.sockets / 4, (limits.memory / 16).max(LONGEST as usize));
-    let house = House { visits: 0, strangers: BTreeMap::new(), known: BTreeMap::new(), room, most };
-    let (house, terms) = (Rc::new(RefCell::new(house)), Rc::new(terms));
+    let limit =
+        ConnectionLimit { permits: 0, strangers: BTreeMap::new(), known: BTreeMap::new(), room, most };
+    let (limit, terms) = (Rc::new(RefCell::new(limit)), Rc::new(terms));
     loop {
         let mut stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -301,24 +307,24 @@
         };
         counters::CONNECTIONS.add(1);
         let _ = stream.set_nodelay(true);
-        let number = house.borrow().visits;
-        let oldest = house.borrow().strangers.first_key_value().map(|(_, oldest)| oldest.clone());
-        if let Some(oldest) = oldest.filter(|_| house.borrow().strangers.len() >= most) {
+        let number = limit.borrow().permits;
+        let oldest = limit.borrow().strangers.first_key_value().map(|(_, oldest)| oldest.clone());
+        if let Some(oldest) = oldest.filter(|_| limit.borrow().strangers.len() >= most) {
             oldest.abort();
             counters::STRANGERS.add(1);
         }
-        let visit = Visit { number, house: house.clone() };
+        let permit = ConnectionPermit { number, limit: limit.clone() };
         let (terms, inbox) = (terms.clone(), inbox.clone());
         let task = spawn_local(async move {
-            if let Err(error) = serve(&mut stream, &visit, &terms, &inbox).await {
+            if let Err(error) = serve(&mut stream, &permit, &terms, &inbox).await {
                 let silent = error.kind() == io::ErrorKind::TimedOut;
                 if silent { &counters::STRANGERS } else { &counters::BROKEN }.add(1);
                 counters::BAD.add(usize::from(error.kind() == io::ErrorKind::InvalidData));
                 tracing::warn!("collectors: {error}");
             }
         });
-        house.borrow_mut().visits += 1;
-        house.borrow_mut().strangers.insert(number, task.abort_handle());
+        limit.borrow_mut().permits += 1;
+        limit.borrow_mut().strangers.insert(number, task.abort_handle());
         // The one that gives way goes, and the newcomer is heard, before the next is let in.
         yield_now().await;
     }
--- a/crates/pilot/src/discovery.rs
+++ b/crates/pilot/src/discovery.rs
@@ -17,9 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::backoff::Backoff;
 use crate::counters;
 use crate::lists::ListMessage;
-use crate::pause::Pause;
 use crate::reload::Address;
 
 /// The agent is on this machine: what is not there by then is not coming.
@@ -123,10 +123,10 @@
     /// The version last heard of.
     seq: Option<u64>,
     /// Before the next try.
-    pause: Pause,
+    backoff: Backoff,
     /// When the whole is asked for once more, as not all that was told could be read.
     reread: Option<Instant>,
-    doubt: Pause,
+    doubt: Backoff,
 }
 
 impl Watch {
@@ -140,9 +140,9 @@
         seq: Option<u64>,
         chance: ChaCha8Rng,
     ) -> Watch {
-        let pause = |longest| Pause::new(FIRST_PAUSE, longest, chance.clone());
-        let (pause, doubt) = (pause(LONGEST_PAUSE), pause(LONGEST_DOUBT));
-        Watch { address, places, inbox, source, epoch: Epoch(0), seq, pause, reread: None, doubt }
+        let backoff = |longest| Backoff::new(FIRST_PAUSE, longest, chance.clone());
+        let (backoff, doubt) = (backoff(LONGEST_PAUSE), backoff(LONGEST_DOUBT));
+        Watch { address, places, inbox, source, epoch: Epoch(0), seq, backoff, reread: None, doubt }
     }
 
     fn question(&self) -> Question {
@@ -193,7 +193,7 @@
         if !list.is_empty() {
             if !self.route(&list).await {
                 counters::REREADS.add(1);
-                self.reread.get_or_insert(Instant::now() + self.doubt.draw());
+                self.reread.get_or_insert(Instant::now() + self.doubt.next_delay());
             } else if list.is_whole() {
                 self.doubt.reset();
             }
@@ -202,9 +202,9 @@
         drop(list);
         // A watch that ends long before its time and brings nothing would be asked again without end.
         if progress || after * 2 >= question.wait {
-            self.pause.reset();
+            self.backoff.reset();
         } else {
-            self.pause.take().await;
+            self.backoff.wait().await;
         }
         Ok(())
     }
@@ -223,7 +223,7 @@
                 tracing::warn!("discovery: {error}");
                 self.inbox.tell(Box::new(|controller, now| controller.pilot.endpoint_list_failed(now))).await;
             }
-            self.pause.take().await;
+            self.backoff.wait().await;
         }
     }
 }
--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -1,6 +1,7 @@
 //! A real pilot: the module of `dahliaroad` on sockets. Here the tasks are wired up and ended.
 
 mod arguments;
+mod backoff;
 mod collectors;
 mod commands;
 mod counters;
@@ -9,7 +10,6 @@
 mod lists;
 mod logging;
 mod operator_file;
-mod pause;
 mod relay;
 mod reload;
 mod sources;
@@ -21,6 +21,7 @@
 use std::time::Duration;
 
 use arguments::{Arguments, Command};
+use backoff::Backoff;
 use dahliaroad::interface::Orders;
 use dahliaroad_fleet::{Fleet, Freshness, Places, SourceId, SourceMessage, SourceTerms};
 use dahliaroad_host::{Controller, Inbox};
@@ -28,7 +29,6 @@
 use discovery::Watch;
 use lists::ListMessage;
 use logging::Form;
-use pause::Pause;
 use rand::RngCore;
 use relay::{Dispatcher, Outbox, RelayHealth};
 use reload::Reload;
@@ -98,8 +98,8 @@
 
 /// The process before this one may still be on its way out, and hold the address.
 async fn listen(startup: &Startup) -> io::Result<TcpListener> {
-    let (mut pause, until) =
-        (Pause::new(FIRST_BIND, LONGEST_BIND, startup.chance(5)), Instant::now() + BIND_WITHIN);
+    let (mut backoff, until) =
+        (Backoff::new(FIRST_BIND, LONGEST_BIND, startup.chance(5)), Instant::now() + BIND_WITHIN);
     let mut told = false;
     loop {
         match TcpListener::bind(startup.listen).await {
@@ -107,7 +107,7 @@
                 if !std::mem::replace(&mut told, true) {
                     tracing::warn!("{}: {error}; tried again", startup.listen);
                 }
-                pause.take().await;
+                backoff.wait().await;
             }
             bound => return bound.map_err(|error| io::Error::other(format!("{}: {error}", startup.listen))),
         }
--- a/crates/pilot/src/relay/dispatcher.rs
+++ b/crates/pilot/src/relay/dispatcher.rs
@@ -12,9 +12,9 @@
 use super::caller::{Caller, Outcome};
 use super::outbox::{Batch, Order, Outbox, Returned, Target, undelivered};
 use super::{FIRST_PAUSE, RelayHealth};
+use crate::backoff::Backoff;
 use crate::counters;
 use crate::logging::shown;
-use crate::pause::Pause;
 use crate::reload::Address;
 
 /// Between tries of what the relay stopped at: an endpoint that it has not heard of is heard of within seconds, or not
@@ -29,9 +29,9 @@
     inbox: Inbox,
     health: Rc<RelayHealth>,
     /// Before a probe; longer after each call or probe that failed.
-    pause: Pause,
+    backoff: Backoff,
     /// Before what was put aside is tried again, and when it is.
-    aside: Pause,
+    aside: Backoff,
     aside_until: Instant,
     /// Orders in a call: fewer after one that could not be read, until the one that cannot be is alone.
     most: usize,
@@ -50,8 +50,8 @@
             outbox,
             inbox,
             health,
-            pause: Pause::new(FIRST_PAUSE, LONGEST_PROBE_PAUSE, chance.clone()),
-            aside: Pause::new(FIRST_PAUSE, LONGEST_ASIDE, chance),
+            backoff: Backoff::new(FIRST_PAUSE, LONGEST_PROBE_PAUSE, chance.clone()),
+            aside: Backoff::new(FIRST_PAUSE, LONGEST_ASIDE, chance),
             aside_until: Instant::now(),
             most: usize::MAX,
         }
@@ -98,7 +98,7 @@
             Outcome::Taken(count) if count >= batch.orders.len() => {
                 counters::TAKEN.add(1);
                 self.outbox.taken(&batch);
-                self.pause.reset();
+                self.backoff.reset();
             }
             Outcome::Taken(count) => self.stopped_at(batch, count),
             Outcome::Unread => self.unread(batch).await,
@@ -145,15 +145,15 @@
         if count == 1 {
             self.put_aside(batch.orders.swap_remove(0));
         } else {
-            self.pause.reset();
+            self.backoff.reset();
         }
         self.outbox.put_back_unread(batch);
-        self.pause.take().await;
+        self.backoff.wait().await;
     }
 
     fn put_aside(&mut self, order: Order) {
         if !self.outbox.has_aside() {
-            self.aside_until = Instant::now() + self.aside.draw();
+            self.aside_until = Instant::now() + self.aside.next_delay();
         }
         self.outbox.put_aside(order);
     }
@@ -194,9 +194,9 @@
     async fn probe_until_answered(&mut self) -> usize {
         let mut probes = 0;
         loop {
-            let pause = self.pause.draw();
+            let delay = self.backoff.next_delay();
             tokio::select! {
-                () = tokio::time::sleep(pause) => {}
+                () = tokio::time::sleep(delay) => {}
                 () = self.health.until_news_subscribed() => {}
             }
             probes += 1;
@@ -208,7 +208,7 @@
                     return probes;
                 }
                 // It speaks, and soon takes calls.
-                Outcome::Busy => self.pause.reset(),
+                Outcome::Busy => self.backoff.reset(),
                 Outcome::Unsent(error) | Outcome::Unsure(error) => {
                     tracing::warn!("relay: probe {probes} failed: {error}");
                 }
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -17,9 +17,9 @@
 use super::attempts::Acknowledgement;
 use super::outbox::Target;
 use super::{ANSWER_WITHIN, FIRST_PAUSE, LONGEST_PAUSE, Link, Outbox, RelayHealth, unreadable};
+use crate::backoff::Backoff;
 use crate::counters;
 use crate::logging::shown;
-use crate::pause::Pause;
 use crate::reload::Address;
 
 /// Two signs of life missed, and one late.
@@ -261,7 +261,7 @@
     }
 
     /// Follows one connection until it has to be given up, or until what stands is to be told anew.
-    async fn hear(&mut self, pause: &mut Pause, doubt: &mut Pause) -> io::Result<()> {
+    async fn hear(&mut self, backoff: &mut Backoff, doubt: &mut Backoff) -> io::Result<()> {
         let mut link = self.subscribe().await?;
         let mut spoilt_at: Option<Instant> = None;
         loop {
@@ -286,14 +286,14 @@
                 let heard = self.take(&link.line).await?;
                 // One that breaks off each time before all that stands was told is not asked again at once.
                 if self.standing.is_none() {
-                    pause.reset();
+                    backoff.reset();
                 }
                 if matches!(heard, Outcome::Spoilt) && anew.is_none() {
                     let now = Instant::now();
                     if spoilt_at.replace(now).is_none_or(|at| now - at > LONGEST_DOUBT * 2) {
                         doubt.reset();
                     }
-                    anew = Some(now + doubt.draw());
+                    anew = Some(now + doubt.next_delay());
                 }
             };
             link = new;
@@ -301,16 +301,16 @@
     }
 
     pub async fn follow(mut self, chance: ChaCha8Rng) {
-        let mut pause = Pause::new(FIRST_PAUSE, LONGEST_PAUSE, chance.clone());
-        let mut doubt = Pause::new(FIRST_DOUBT, LONGEST_DOUBT, chance);
+        let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, chance.clone());
+        let mut doubt = Backoff::new(FIRST_DOUBT, LONGEST_DOUBT, chance);
         loop {
-            if let Err(error) = self.hear(&mut pause, &mut doubt).await {
+            if let Err(error) = self.hear(&mut backoff, &mut doubt).await {
                 counters::NEWS_LOST.add(1);
                 tracing::warn!("relay: news broke off: {error}");
             }
             // The calls find out when the relay is back; unless they have none to make.
             let _ = timeout(LONGEST_DEFERRAL, self.health.until_found()).await;
-            pause.take().await;
+            backoff.wait().await;
         }
     }
 }
