Messages count a quarter of a second longer; outages by broken connections and busy relays are played

By reading: a message counted from its order on, and its call may wait behind one that is not answered yet, so two messages that were ordered a span apart could arrive within it. They count 0.25 s longer now (DELIVERY_DELAY). The histories of kind Lost are now silences, connections that break, old and new, and calls turned away for the whole of the outage; drawn apart, so that other histories are the same.

--- a/crates/pilot/tests/stage/outages.rs
+++ b/crates/pilot/tests/stage/outages.rs
@@ -32,6 +32,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
     Silence(SilentCalls),
+    /// All connections break, old and new.
+    Refusal,
+    /// All calls are turned away.
+    Busy,
     Return,
     Fault(toyfleet::Fault),
     Drain(u32),
@@ -43,8 +47,9 @@
 /// Which events a history has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// One silence, in which calls are lost, carried out without an answer, or carried out late.
+    /// One outage in which no call is carried out: a silence, broken connections, or calls turned away.
     Lost,
+    /// One silence, in which calls are carried out without an answer, or carried out late.
     CarriedOut,
     Late,
     /// Short silences close to one another, each with a fate of its own.
@@ -99,6 +104,13 @@
     }
 }
 
+/// Drawn apart, so that what else a seed brings is the same whatever this is.
+fn any_outage(seed: u64) -> Event {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    chance.set_stream(1);
+    [Event::Silence(SilentCalls::Lost), Event::Refusal, Event::Busy][chance.random_range(0..3)]
+}
+
 fn any_fault(chance: &mut ChaCha8Rng) -> toyfleet::Fault {
     use toyfleet::Fault::*;
     let faults = [
@@ -134,7 +146,7 @@
         };
         let mut at = milliseconds(chance, 1500, 3000);
         for (length, calls) in silences {
-            events.push((at, Event::Silence(calls)));
+            events.push((at, if kind == Kind::Lost { any_outage(seed) } else { Event::Silence(calls) }));
             events.push((at + length, Event::Return));
             at += length + milliseconds(chance, 300, 3000);
         }
@@ -243,6 +255,8 @@
                 world.silent_calls.set(calls);
                 world.relay_silent.set(true);
             }
+            Event::Refusal => world.relay_refuses.set(true),
+            Event::Busy => world.relay_busy.set(true),
             Event::Return => {
                 let in_time = |told: &Duration| *told >= TOLD_IN_TIME;
                 let ended = self.ended.borrow();
@@ -250,7 +264,9 @@
                 self.owed.replace(Some((real_calls(fleet), owed.collect())));
                 drop(ended);
                 self.ended.borrow_mut().values_mut().for_each(|since| *since = Duration::ZERO);
-                world.relay_silent.set(false);
+                for outage in [&world.relay_silent, &world.relay_refuses, &world.relay_busy] {
+                    outage.set(false);
+                }
             }
             Event::Fault(fault) => world.faults.borrow_mut().push_back(fault),
             Event::Drain(endpoint) => self.end(fleet, endpoint, "leaving"),
@@ -276,8 +292,8 @@
         let mut findings = self.findings.borrow_mut();
         for (name, since) in self.ended.borrow_mut().iter_mut() {
             *since += gap;
-            // While the relay is silent nothing can be done.
-            if held.contains(name) && !fleet.world.relay_silent.get() {
+            // While the relay takes nothing, nothing can be done.
+            if held.contains(name) && takes_calls(fleet) {
                 findings.longest_drain = findings.longest_drain.max(*since);
             }
         }
@@ -298,6 +314,11 @@
     }
 }
 
+fn takes_calls(fleet: &Fleet) -> bool {
+    let world = &fleet.world;
+    ![&world.relay_silent, &world.relay_refuses, &world.relay_busy].iter().any(|outage| outage.get())
+}
+
 /// Calls carried out that ordered anything, without those that a silence had kept.
 fn real_calls(fleet: &Fleet) -> usize {
     let calls = fleet.world.calls.borrow();
--- a/examples/src/relay.rs
+++ b/examples/src/relay.rs
@@ -57,7 +57,7 @@
             line = lines.recv() => line.flatten(),
             _ = second.tick() => Some(r#"{"jsonrpc":"2.0","method":"ping"}"#.to_owned()),
         };
-        let Some(line) = line else { return Ok(()) };
+        let Some(line) = line.filter(|_| !world.relay_refuses.get()) else { return Ok(()) };
         if !world.relay_silent.get() {
             stream.write_all(format!("{line}\n").as_bytes()).await?;
         }
@@ -104,7 +104,7 @@
             stream.read_exact(&mut vec![0; count]).await?;
             return Ok(());
         }
-        if stream.read_line(&mut line).await? == 0 {
+        if stream.read_line(&mut line).await? == 0 || world.relay_refuses.get() {
             return Ok(());
         }
         if world.relay_silent.get() {
@@ -122,6 +122,7 @@
         let taken = match (orders, fault) {
             (None, _) => Err("SYNTAX"),
             (_, Some(Fault::Busy)) => Err("BUSY"),
+            (Some(_), _) if world.relay_busy.get() => Err("BUSY"),
             (_, Some(Fault::Lost | Fault::Unheard)) => Ok(0),
             (_, Some(Fault::Overcounted)) => Ok(1 << 30),
             (Some(orders), Some(Fault::Nameless)) => Ok(orders.len()),
--- a/examples/src/world.rs
+++ b/examples/src/world.rs
@@ -82,6 +82,9 @@
     pub discovery_silent: Cell<bool>,
     pub relay_silent: Cell<bool>,
     pub silent_calls: Cell<SilentCalls>,
+    /// The relay breaks all connections, old and new; it turns away all calls.
+    pub relay_refuses: Cell<bool>,
+    pub relay_busy: Cell<bool>,
     /// How many calls a silence had carried out late.
     pub late_calls: Cell<usize>,
     /// Each message that reached a proxy, and when.
--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -137,10 +137,11 @@
     /// message.
     pub fn orders_sent_apart(&mut self, now: Duration, orders: &Undelivered, nonce: Nonce) {
         self.now = now;
+        let window = self.message_window();
         for (proxy, lines) in self.lines_by_proxy(orders) {
             let lines = self.message_lines(lines);
             if let Some(known) = self.proxies.get_mut(&proxy) {
-                known.note_message(now, self.site.messages_span);
+                known.note_message(now, window);
             }
             self.waiting.push(WaitingMessage { nonce, proxy, lines, at: now });
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,6 +31,9 @@
 /// The part of a proxy's messages open to moves and easing; to levels, as refusals cost more; drains use all.
 const FOR_MOVES: f64 = 0.5;
 const FOR_LEVELS: f64 = 0.75;
+/// A message may reach its proxies so much later than it was ordered, behind a call that is not answered yet: for so much
+/// longer it counts, or two that were ordered a span apart might arrive within it.
+const DELIVERY_DELAY: Duration = Duration::from_millis(250);
 /// The part that withdrawals may fill of the lines that may wait, all else half of it: a drain must not wait
 /// behind them. What no proxy has confirmed may wait still.
 const QUEUE_PART: f64 = 0.8;
@@ -743,12 +746,17 @@
     fn messages_left(&self, proxy: &Proxy, limit: MessageLimit) -> bool {
         let Some(most) = self.site.messages else { return true };
         let span = self.site.messages_span;
-        let sent = proxy.messages_since(self.now.saturating_sub(span)) as f64;
+        let sent = proxy.messages_since(self.now.saturating_sub(self.message_window())) as f64;
         let pause = span.div_f64((most as f64 * (1.0 - FOR_MOVES)).max(1.0));
         let spaced = !limit.spaced || proxy.messages.back().is_none_or(|&at| self.now >= at + pause);
         sent < (most as f64 * limit.part).floor() && (spaced || sent < (most as f64 * FOR_MOVES).floor())
     }
 
+    /// How long a message counts.
+    pub(crate) fn message_window(&self) -> Duration {
+        self.site.messages_span + DELIVERY_DELAY
+    }
+
     /// All that changed, or in a filled channel what is urgent, goes as far as it fits: a whole might never.
     fn publish(&mut self, table: usize, orders: &mut Orders) {
         let (mut levels, Table { due, first, .. }) = (self.levels_worth_telling(table), &self.tables[table]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -573,8 +573,9 @@
     /// A message of so many lines goes to a proxy, under the nonce of this moment's orders.
     pub(crate) fn note_message(&mut self, id: ProxyId, lines: usize) {
         let lines = self.message_lines(lines);
+        let window = self.message_window();
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
-        proxy.note_message(self.now, self.site.messages_span);
+        proxy.note_message(self.now, window);
         if self.nonce_at != Some(self.now) {
             (self.nonce_at, self.nonce) = (Some(self.now), (self.nonce + 1) % (1 << 16));
         }
