--- a/src/delivery.rs
+++ b/src/delivery.rs
@@ -8,8 +8,8 @@
 use crate::interface::*;
 use crate::state::Pilot;
 
-/// A withdrawal that has waited so long for leave is told to the operators.
-const LATE_WITHDRAWAL: Duration = Duration::from_secs(1);
+/// A withdrawal that has waited so long is told to the operators: spacing alone may keep a row of them for less.
+const LATE_WITHDRAWAL: Duration = Duration::from_secs(2);
 /// A withdrawal that was held for so long goes with the first call after it: such holds are too rare to spend the messages
 /// that spacing keeps for the drains to come.
 const LONG_HOLD: Duration = Duration::from_secs(1);
