Move the solver into a module of its own; name the news follower by the field's words

Moves and renames alone: Split with its constants from policy.rs and state.rs to solver.rs, listed under policy; Joined is NewsFollower, its methods say what they handle.

--- a/crates/pilot/src/main.rs
+++ b/crates/pilot/src/main.rs
@@ -142,7 +142,7 @@
     let places = Places { zones: zones.clone(), kinds: opening.kinds };
     let terms = relay::Terms { zones: zones.clone(), proxies };
     let health = Rc::new(RelayHealth::default());
-    let joined = relay::Joined::new(reload.relay(), terms, outbox.clone(), inbox.clone(), health.clone());
+    let news = relay::NewsFollower::new(reload.relay(), terms, outbox.clone(), inbox.clone(), health.clone());
     let mut tasks = JoinSet::new();
     tasks.spawn_local(dahliaroad_host::run(controller, calls, outbox.clone(), probes, opening.turn));
     if let Some(source) = platform {
@@ -164,7 +164,7 @@
     tasks.spawn_local(endpoints::probe(probes_waiting, opening.connect_within, limits, inbox.clone()));
     let dispatcher = Dispatcher::new(reload.relay(), outbox, inbox.clone(), health.clone(), calls_chance);
     tasks.spawn_local(dispatcher.run());
-    tasks.spawn_local(joined.follow(news_chance));
+    tasks.spawn_local(news.follow(news_chance));
     let terms = collectors::Terms { zones, classes: classes.clone(), proxies };
     tasks.spawn_local(collectors::listen(listener, terms, limits, inbox.clone()));
     loop {
--- a/crates/pilot/src/relay.rs
+++ b/crates/pilot/src/relay.rs
@@ -20,7 +20,7 @@
 
 pub use dispatcher::Dispatcher;
 pub use health::RelayHealth;
-pub use news::{Joined, Terms};
+pub use news::{NewsFollower, Terms};
 pub use outbox::Outbox;
 
 /// Answers and news are far shorter.
--- a/crates/pilot/src/relay/news.rs
+++ b/crates/pilot/src/relay/news.rs
@@ -84,7 +84,7 @@
 }
 
 /// Which proxies are joined, as far as news has told.
-pub struct Joined {
+pub struct NewsFollower {
     address: Address,
     terms: Terms,
     outbox: Rc<Outbox>,
@@ -92,7 +92,7 @@
     health: Rc<RelayHealth>,
     proxies: BTreeSet<u32>,
     /// What stands, since the last subscription and until all of it has been told.
-    standing: Option<InitialState>,
+    initial: Option<InitialState>,
 }
 
 #[derive(Default)]
@@ -113,18 +113,18 @@
     Spoilt,
 }
 
-impl Joined {
+impl NewsFollower {
     pub fn new(
         address: Address,
         terms: Terms,
         outbox: Rc<Outbox>,
         inbox: Inbox,
         health: Rc<RelayHealth>,
-    ) -> Joined {
-        Joined { address, terms, outbox, inbox, health, proxies: BTreeSet::new(), standing: None }
+    ) -> NewsFollower {
+        NewsFollower { address, terms, outbox, inbox, health, proxies: BTreeSet::new(), initial: None }
     }
 
-    async fn left(&mut self, proxy: u32) {
+    async fn proxy_left(&mut self, proxy: u32) {
         if self.proxies.remove(&proxy) {
             counters::LEFT.add(1);
             // In its turn: what the module ordered for it before is in the outbox only then.
@@ -139,15 +139,15 @@
 
     /// Who is missing from what stands has left unheard, once all of it must have been told.
     async fn sign_of_life(&mut self) {
-        let Some(standing) = &mut self.standing else { return };
-        standing.signs += 1;
+        let Some(initial) = &mut self.initial else { return };
+        initial.signs += 1;
         let Some(InitialState { told, spoilt, .. }) =
-            self.standing.take_if(|standing| standing.signs >= SIGNS_BETWEEN)
+            self.initial.take_if(|initial| initial.signs >= SIGNS_BETWEEN)
         else {
             return;
         };
         for gone in self.proxies.difference(&told).copied().filter(|_| !spoilt).collect::<Vec<_>>() {
-            self.left(gone).await;
+            self.proxy_left(gone).await;
         }
     }
 
@@ -157,11 +157,11 @@
         let rate = params.w.filter(|w| (0.0..LARGEST).contains(w))?;
         let (proxy, zone) = (ProxyId(node), ZoneId(zone as u32));
         // Told of twice, it has come again in between.
-        let standing = self.standing.as_mut().is_some_and(|standing| {
-            standing.signs = 0;
-            standing.told.insert(node)
+        let is_initial = self.initial.as_mut().is_some_and(|initial| {
+            initial.signs = 0;
+            initial.told.insert(node)
         });
-        if standing && self.proxies.contains(&node) {
+        if is_initial && self.proxies.contains(&node) {
             // It may have left and come again unheard, and be bound to none of our tables then.
             counters::DOUBTED.add(1);
             self.inbox
@@ -173,7 +173,7 @@
             return Some(());
         }
         // One that comes twice has left in between.
-        self.left(node).await;
+        self.proxy_left(node).await;
         self.proxies.insert(node);
         counters::JOINED.add(1);
         self.inbox
@@ -209,11 +209,11 @@
         self.inbox.tell(Box::new(heard)).await;
     }
 
-    async fn admit(&mut self, told: Message) -> Outcome {
+    async fn handle_message(&mut self, told: Message) -> Outcome {
         let heard = match (told.method.as_deref(), told.params) {
             (Some("hello"), Some(params)) => self.hello(params).await,
             (Some("bye"), Some(Params { node: Some(node), .. })) => {
-                self.left(node).await;
+                self.proxy_left(node).await;
                 Some(())
             }
             (Some("hello" | "bye") | None, _) => None,
@@ -234,22 +234,22 @@
 
     /// Of a word that is JSON and spoilt the method alone is of use; after what is no JSON nothing that follows can be
     /// trusted to be whole.
-    async fn take(&mut self, line: &[u8]) -> io::Result<Outcome> {
+    async fn handle_line(&mut self, line: &[u8]) -> io::Result<Outcome> {
         counters::NEWS.add(1);
         let heard = match serde_json::from_slice(line) {
-            Ok(told) => self.admit(told).await,
+            Ok(told) => self.handle_message(told).await,
             Err(_) => {
                 serde_json::from_slice::<IgnoredAny>(line).map_err(|_| unreadable(line))?;
                 let method = serde_json::from_slice::<Method>(line).ok().and_then(|Method { method }| method);
-                self.admit(Message { method, params: None, result: None }).await
+                self.handle_message(Message { method, params: None, result: None }).await
             }
         };
         if !matches!(heard, Outcome::Taken) {
             counters::BAD.add(1);
             tracing::warn!("relay: news left out: {}", shown(line));
         }
-        if let (Outcome::Spoilt, Some(standing)) = (&heard, &mut self.standing) {
-            standing.spoilt = true;
+        if let (Outcome::Spoilt, Some(initial)) = (&heard, &mut self.initial) {
+            initial.spoilt = true;
         }
         Ok(heard)
     }
@@ -261,11 +261,11 @@
     }
 
     /// Follows one connection until it has to be given up, or until what stands is to be told anew.
-    async fn hear(&mut self, backoff: &mut Backoff, doubt: &mut Backoff) -> io::Result<()> {
+    async fn follow_connection(&mut self, backoff: &mut Backoff, doubt: &mut Backoff) -> io::Result<()> {
         let mut link = self.subscribe().await?;
         let mut spoilt_at: Option<Instant> = None;
         loop {
-            self.standing = Some(InitialState::default());
+            self.initial = Some(InitialState::default());
             let (mut address, mut anew) = (self.address.clone(), None);
             let mut moved = pin!(address.moved(link.address, subscribe));
             let new = loop {
@@ -283,9 +283,9 @@
                 };
                 read?;
                 self.health.heard();
-                let heard = self.take(&link.line).await?;
+                let heard = self.handle_line(&link.line).await?;
                 // One that breaks off each time before all that stands was told is not asked again at once.
-                if self.standing.is_none() {
+                if self.initial.is_none() {
                     backoff.reset();
                 }
                 if matches!(heard, Outcome::Spoilt) && anew.is_none() {
@@ -304,7 +304,7 @@
         let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, chance.clone());
         let mut doubt = Backoff::new(FIRST_DOUBT, LONGEST_DOUBT, chance);
         loop {
-            if let Err(error) = self.hear(&mut backoff, &mut doubt).await {
+            if let Err(error) = self.follow_connection(&mut backoff, &mut doubt).await {
                 counters::NEWS_LOST.add(1);
                 tracing::warn!("relay: news broke off: {error}");
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,7 +49,9 @@
 mod delivery;
 pub mod interface;
 mod policy;
+mod solver;
 mod state;
 
 pub use delivery::HeldBack;
-pub use state::{Pilot, Split};
+pub use solver::Split;
+pub use state::Pilot;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,15 +1,15 @@
 //! Every decision of a pilot. A host calls the methods of [`Pilot`] in the order of the happenings and
 //! carries out the [`Orders`] that each returns; `interface.rs` holds the types of both, `state.rs` what is
-//! kept in mind. After each call the rules in [`RULES`] are gone through, first to last and over again,
+//! kept in mind, `solver.rs` how loads are made even, `delivery.rs` which orders may leave and which have to be repeated.
+//! After each call the rules in [`RULES`] are gone through, first to last and over again,
 //! until none fires. The design, and where this departs from it, is in `docs/design.md`.
 
 use std::time::Duration;
 
-use crate::arithmetic::{
-    fit_margins, lower_quarter, on_simplex, relative_change, swell, water_level, weighted_mean, worst_parts,
-};
+use crate::arithmetic::{fit_margins, lower_quarter, swell, water_level, weighted_mean, worst_parts};
 use crate::interface::*;
-use crate::state::{Fleet, Group, Pilot, Proxy, Rule, Split, Table};
+use crate::solver::ITERATIONS;
+use crate::state::{Fleet, Group, Pilot, Proxy, Rule, Table};
 
 /// Capacity, the design's defaults: rounds averaged over, least busy fraction, factor around the mean.
 const ROUNDS: f64 = 10.0;
@@ -79,82 +79,6 @@
 const LEVEL_STEP: f64 = 0.05;
 const ALL_CALLS: f64 = 1e6;
 
-/// The solver, in the paper's letters (IV-B), and halvings for one server's side.
-const RHO: f64 = 0.1;
-const OMEGA: f64 = 0.3 * RHO;
-const TAU: f64 = 1.0;
-const STOP: f64 = 0.001;
-const ITERATIONS: usize = 30;
-const HALVINGS: usize = 40;
-/// Each block is solved in units in which its squared coefficients sum to this, so that OMEGA holds it: in
-/// the paper's, without its bound on L, the iteration swings apart (condition in IV-C).
-const UNIT: f64 = OMEGA / RHO;
-
-impl Split {
-    /// Splits `demand` by flow over servers of `capacity` (0: takes no part), from the last iterate on.
-    pub fn solve(&mut self, demand: &[f64], capacity: &[f64]) {
-        let servers: Vec<usize> = (0..capacity.len()).filter(|&j| capacity[j] > 0.0).collect();
-        let total: f64 = demand.iter().sum();
-        self.carry_over(demand, capacity, servers.len() as f64);
-        if servers.is_empty() || total <= 0.0 {
-            return;
-        }
-        // Units again: demand sums to one and capacities average one, so that no step drowns in a scale.
-        let (flows, count) = (0..demand.len(), servers.len() as f64);
-        let mean = servers.iter().map(|&j| capacity[j]).sum::<f64>() / count;
-        let d = |q: usize, j: usize| demand[q] / total / (capacity[j] / mean);
-        let load = |a: &[Vec<f64>], j: usize| flows.clone().map(|q| a[q][j] * d(q, j)).sum::<f64>();
-        let (prox, prox_l) = (OMEGA / UNIT, OMEGA / UNIT * count);
-        for _ in 0..ITERATIONS {
-            let (mut a, mut gamma, mut delta) = (self.a.clone(), self.gamma.clone(), self.delta.clone());
-            let mut pull = prox_l * self.l - 1.0;
-            for &j in &servers {
-                let now = load(&self.a, j);
-                pull += RHO * (now + self.delta[j]) - self.theta[j];
-                let slack = RHO * (self.l - now) + self.theta[j] + prox * self.delta[j];
-                delta[j] = (slack / (RHO + prox)).max(0.0);
-                self.server_side(j, &mut a, flows.clone().map(|q| d(q, j)).collect());
-            }
-            let l = (pull / (RHO * count + prox_l)).max(0.0);
-            for (q, row) in gamma.iter_mut().enumerate() {
-                let near = |&j: &usize| RHO * self.a[q][j] + prox * self.gamma[q][j] - self.phi[q][j];
-                let wish: Vec<f64> = servers.iter().map(|j| near(j) / (RHO + prox)).collect();
-                servers.iter().zip(on_simplex(&wish)).for_each(|(&j, part)| row[j] = part);
-            }
-            for &j in &servers {
-                self.theta[j] += TAU * RHO * (l - load(&a, j) - delta[j]);
-                flows.clone().for_each(|q| self.phi[q][j] += TAU * RHO * (gamma[q][j] - a[q][j]));
-            }
-            let both = a.iter().zip(&self.a).chain(gamma.iter().zip(&self.gamma));
-            let levels = ([l], [self.l]);
-            let all = both.map(|(new, old)| (&new[..], &old[..])).chain([(&levels.0[..], &levels.1[..])]);
-            let change = relative_change(all);
-            (self.l, self.delta, self.a, self.gamma) = (l, delta, a, gamma);
-            // While L is held at 0 the rest may stand still before it has begun.
-            if l > 0.0 && change < STOP {
-                break;
-            }
-        }
-    }
-
-    /// One server's side: its wish falls as its own load rises, so halving finds where they agree.
-    fn server_side(&self, j: usize, a: &mut [Vec<f64>], d: Vec<f64>) {
-        let omega = OMEGA / UNIT * (1.0 + d.iter().map(|x| x * x).sum::<f64>());
-        let wish = |q: usize, load: f64| {
-            let pull = d[q] * (self.theta[j] + RHO * (self.l - self.delta[j] - load));
-            let near = RHO * self.gamma[q][j] + omega * self.a[q][j] + self.phi[q][j];
-            ((pull + near) / (RHO + omega)).clamp(0.0, 1.0)
-        };
-        let (mut low, mut high) = (0.0, d.iter().sum::<f64>());
-        for _ in 0..HALVINGS {
-            let middle = (low + high) / 2.0;
-            let load: f64 = (0..d.len()).map(|q| d[q] * wish(q, middle)).sum();
-            (low, high) = if load > middle { (middle, high) } else { (low, middle) };
-        }
-        (0..d.len()).for_each(|q| a[q][j] = wish(q, high));
-    }
-}
-
 /// What the list, the sums and the probes say; then tables, the most urgent first; last, the next call.
 const RULES: &[Rule] = &[
     Rule { when: |p| p.ask_for_list_at.filter(|at| *at <= p.now).map(|_| 0), then: Pilot::ask_for_list },
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,65 +6,7 @@
 
 use crate::delivery::{Delivery, PendingWithdrawal, Uncertain, Waiting, WaitingMessage, is_before};
 use crate::interface::*;
-
-/// An iterate of the solver in the paper's letters: `phi` and `theta` are the duals, `gamma` is the flow
-/// side, a row a flow, each on the simplex.
-#[derive(Default)]
-pub struct Split {
-    /// What the iterate was solved for.
-    pub capacity: Vec<f64>,
-    pub l: f64,
-    pub delta: Vec<f64>,
-    pub a: Vec<Vec<f64>>,
-    pub gamma: Vec<Vec<f64>>,
-    pub theta: Vec<f64>,
-    pub phi: Vec<Vec<f64>>,
-}
-
-/// What is known of the endpoints, in parallel arrays under the number of the endpoint.
-impl Split {
-    /// Carries the iterate over to other capacities as loads, so that what changed needs no iterations:
-    /// shares and duals scale with capacity, the load and the flow duals with the number of servers, comers
-    /// start in proportion, those that left are cleared, and all get back their sums at every optimum.
-    pub fn carry_over(&mut self, demand: &[f64], capacity: &[f64], count: f64) {
-        self.grow(demand.len(), capacity.len());
-        let total = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let (before, sum) = (self.capacity.iter().sum::<f64>(), capacity.iter().sum::<f64>());
-        let fewer = self.capacity.iter().filter(|old| **old > 0.0).count() as f64 / count.max(1.0);
-        for (j, &new) in capacity.iter().enumerate() {
-            let (old, even) = (self.capacity[j], new / sum.max(f64::MIN_POSITIVE));
-            let carry = |part: &mut f64, fresh: f64| {
-                *part = if old > 0.0 { *part * even * before / old } else { fresh };
-            };
-            carry(&mut self.theta[j], -even);
-            self.a.iter_mut().chain(&mut self.gamma).for_each(|row| carry(&mut row[j], even));
-            for (row, demand) in self.phi.iter_mut().zip(demand) {
-                row[j] = if old > 0.0 { row[j] * fewer } else { demand / total / count };
-            }
-            if old <= 0.0 || new <= 0.0 {
-                self.delta[j] = 0.0;
-                self.phi.iter_mut().filter(|_| new <= 0.0).for_each(|row| row[j] = 0.0);
-            }
-        }
-        self.capacity.clone_from_slice(capacity);
-        self.l = if self.l > 0.0 { self.l * fewer } else { 1.0 / count.max(1.0) };
-        let ones = self.gamma.iter_mut().chain(&mut self.a).chain([&mut self.theta]).map(|row| (row, 1.0));
-        for (row, wanted) in ones.chain(self.phi.iter_mut().zip(demand.iter().map(|d| d / total))) {
-            let sum = row.iter().sum::<f64>().abs().max(f64::MIN_POSITIVE);
-            row.iter_mut().for_each(|part| *part *= wanted / sum);
-        }
-    }
-
-    fn grow(&mut self, flows: usize, size: usize) {
-        self.theta.resize(size, 0.0);
-        self.capacity.resize(size, 0.0);
-        self.delta.resize(size, 0.0);
-        for rows in [&mut self.a, &mut self.gamma, &mut self.phi] {
-            rows.resize(flows, Vec::new());
-            rows.iter_mut().for_each(|row| row.resize(size, 0.0));
-        }
-    }
-}
+use crate::solver::Split;
 
 /// What the proxies of one zone last met, by endpoint and by the second, and until when it stands.
 #[derive(Default, Clone)]
@@ -97,6 +39,7 @@
     }
 }
 
+/// What is known of the endpoints, in parallel arrays under the number of the endpoint.
 #[derive(Default)]
 pub struct Fleet {
     pub home: Vec<usize>,
