Twelve histories of a late call behind a silence that ended the news; a try without effect recorded

Tried and reverted: each time news is back, what calls of unknown fate may have undone was ordered again, as their acknowledgements may be lost in the gap. It would cost a message for each break of the news. The twelve histories stay as a test, the risk stays in the postmortem.

--- a/crates/pilot/tests/relay_outages.rs
+++ b/crates/pilot/tests/relay_outages.rs
@@ -20,7 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Histories that run at one time, each with a pilot of its own.
-const SIDE_BY_SIDE: usize = 11;
+const SIDE_BY_SIDE: usize = 12;
 /// The seeds that are played without `DAHLIAROAD_OUTAGE_SEEDS`, four of each kind of history.
 const SEEDS: std::ops::Range<u64> = 0..20;
 
@@ -48,11 +48,23 @@
 
 #[test]
 fn drains_and_messages_keep_their_limits_through_silences_and_broken_calls_of_the_relay() {
+    let histories = seeds().into_iter().map(History::generate);
+    assert_good(histories.collect());
+}
+
+/// News breaks off in such a silence, and is subscribed again as the late call may already be under way.
+#[test]
+fn a_call_that_arrives_up_to_1_3_s_after_a_silence_that_ended_the_news_is_made_good() {
+    let after = (200..1400).step_by(100).map(Duration::from_millis);
+    assert_good(after.map(History::with_late_weights).collect());
+}
+
+fn assert_good(mut histories: Vec<History>) {
     let mut bad = Vec::new();
-    for some in seeds().chunks(SIDE_BY_SIDE) {
-        let some = some.to_vec();
+    while !histories.is_empty() {
+        let some = histories.split_off(histories.len().saturating_sub(SIDE_BY_SIDE));
         play(async {
-            for one in play_all(some).await {
+            for one in play_all(some.into_iter()).await {
                 println!("{}", shown(&one));
                 if !one.1.is_good() {
                     bad.push(one);
--- a/crates/pilot/tests/stage/outages.rs
+++ b/crates/pilot/tests/stage/outages.rs
@@ -163,6 +163,19 @@
         History { seed, kind, events }
     }
 
+    /// A silence that outlasts the news, whose one call set the weight of an endpoint that ends in the silence, and arrives so
+    /// long after it.
+    pub fn with_late_weights(late: Duration) -> History {
+        let events = vec![
+            (Duration::from_millis(2000), Event::Drain(5)),
+            // The moves that follow the drain are ordered 0.2 s behind it.
+            (Duration::from_millis(2080), Event::Silence(SilentCalls::Late(late))),
+            (Duration::from_millis(3500), Event::Drain(1)),
+            (Duration::from_millis(6500), Event::Return),
+        ];
+        History { seed: late.as_millis() as u64, kind: Kind::Late, events }
+    }
+
     /// Of each zone's six endpoints up to four end, and some of them are started again.
     fn add_endpoint_events(chance: &mut ChaCha8Rng, until: Duration, events: &mut Vec<(Duration, Event)>) {
         let mut names: Vec<u32> = (0..ENDPOINTS - 4).collect();
@@ -325,12 +338,11 @@
     calls.iter().filter(|orders| !orders.is_empty()).count() - fleet.world.late_calls.get()
 }
 
-/// Plays the histories of these seeds side by side, and tells what each showed.
-pub async fn play_all(seeds: Vec<u64>) -> Vec<(History, Findings)> {
+/// Plays these histories side by side, and tells what each showed.
+pub async fn play_all(histories: impl Iterator<Item = History>) -> Vec<(History, Findings)> {
     let mut playing = JoinSet::new();
-    for seed in seeds {
+    for history in histories {
         playing.spawn_local(async move {
-            let history = History::generate(seed);
             let findings = history.play().await;
             (history, findings)
         });
