Zones: a priority that another record overwrote puts no endpoint out of rotation

Callers saw: a zone that lists one endpoint with two priorities reported all of its endpoints as out of rotation, so that nothing was left to send to.

Cause: Schema::map took the lowest priority over all SRV records while it read them. Of two records of one endpoint the last holds; the number of the first was still the lowest, and no endpoint had it.

The lowest is now taken over the endpoints as they are listed, each by the record that holds, so that an endpoint of that priority always exists.

--- a/crates/dns/src/schema.rs
+++ b/crates/dns/src/schema.rs
@@ -67,8 +67,6 @@
         let weights = candidates.iter().map(|candidate| candidate.weight);
         let lightest = weights.filter(|weight| *weight > 0).min();
         let mut priorities = BTreeMap::new();
-        // An endpoint that cannot be used gives way to nobody.
-        let mut lowest: Option<u16> = None;
         for candidate in &candidates {
             let name = candidate.name.clone();
             let endpoint = match self.endpoint(zone, candidate, lightest) {
@@ -78,19 +76,13 @@
                     continue;
                 }
             };
-            let priority = candidate.priority;
-            if endpoint.serving_state == ServingState::Running {
-                lowest = Some(lowest.map_or(priority, |lowest| lowest.min(priority)));
-            }
             if mapped.endpoints.insert(name.clone(), endpoint).is_some() {
                 let reason = RecordFault::DuplicateEndpoint;
                 mapped.problems.push(RecordProblem { owner: name.clone(), reason });
             }
-            priorities.insert(name, priority);
-        }
-        if let Some(lowest) = lowest {
-            take_later_priorities_out_of_rotation(&mut mapped.endpoints, &priorities, lowest);
+            priorities.insert(name, candidate.priority);
         }
+        take_later_priorities_out_of_rotation(&mut mapped.endpoints, &priorities);
         mapped
     }
 
@@ -138,12 +130,14 @@
 }
 
 /// Takes running endpoints of a higher number than the lowest out of rotation: they are used only if none of the lower
-/// number is left (RFC 2782).
+/// number is left (RFC 2782). An endpoint that does not run gives way to nobody, nor does a record that another one of the
+/// same endpoint has replaced.
 fn take_later_priorities_out_of_rotation(
     endpoints: &mut BTreeMap<String, ZoneEndpoint>,
     priorities: &BTreeMap<String, u16>,
-    lowest: u16,
 ) {
+    let running = endpoints.iter().filter(|(_, endpoint)| endpoint.serving_state == ServingState::Running);
+    let Some(lowest) = running.map(|(name, _)| priorities[name]).min() else { return };
     for (name, endpoint) in endpoints {
         if priorities[name] > lowest && endpoint.serving_state == ServingState::Running {
             endpoint.serving_state = ServingState::OutOfRotation;
