Zones: a weight that another record overwrote is not the lightest any more

Callers saw: endpoints of weight 0 beside an endpoint that the zone lists twice got a hundredth of a weight that no endpoint has: next to nothing.

Cause: the kin of the overwritten priority, found when looking for it elsewhere in schema.rs: the lightest weight was taken over all records, those included that a later record of the same endpoint replaces.

Evidence: the new test mapping::a_weight_that_was_overwritten_is_not_the_ lightest fails on the text before: weight 0.01 where a hundredth of the only weight, 1.0, is due. With the records that hold alone it passes (14 of 14).

--- a/crates/dns/src/schema.rs
+++ b/crates/dns/src/schema.rs
@@ -64,8 +64,7 @@
     pub fn map(&self, zone: &Zone) -> MappedZone {
         let mut mapped = MappedZone::default();
         let candidates = candidates(zone, &self.service_name(zone), &mut mapped.problems);
-        let weights = candidates.iter().map(|candidate| candidate.weight);
-        let lightest = weights.filter(|weight| *weight > 0).min();
+        let lightest = lightest_weight(&candidates);
         let mut priorities = BTreeMap::new();
         for candidate in &candidates {
             let name = candidate.name.clone();
@@ -145,6 +144,13 @@
     }
 }
 
+/// The lowest weight above 0, of several records of one endpoint the last one's alone, as that holds.
+fn lightest_weight(candidates: &[Candidate]) -> Option<u16> {
+    let weights = candidates.iter().map(|candidate| (&*candidate.name, candidate.weight));
+    let by_name: BTreeMap<&str, u16> = weights.collect();
+    by_name.into_values().filter(|weight| *weight > 0).min()
+}
+
 /// The address of a host in the zone.
 fn target_address(zone: &Zone, target: &str) -> Result<IpAddr, RecordFault> {
     if zone.records_of(target).any(|data| matches!(data, RecordData::Alias(_))) {
--- a/crates/dns/tests/zones/mapping.rs
+++ b/crates/dns/tests/zones/mapping.rs
@@ -88,3 +88,13 @@
     let running = listed.values().filter(|endpoint| endpoint.serving_state == ServingState::Running);
     assert!(running.count() > 0, "{listed:?}");
 }
+
+/// A zone lists one endpoint twice, and the later record holds. The weight of the earlier one must not count as the lightest:
+/// endpoints of weight 0 would get a hundredth of a weight that no endpoint has.
+#[test]
+fn a_weight_that_was_overwritten_is_not_the_lightest() {
+    let lines = "_ledger._tcp SRV 5 1 9000 e1\n_ledger._tcp SRV 5 100 9000 e1\n_ledger._tcp SRV 5 0 9000 e2\n\
+        e1 A 10.0.0.1\ne2 A 10.0.0.2\ne1 TXT zone=a\ne2 TXT zone=a\n";
+    let listed = map(lines).endpoints;
+    assert_eq!((listed["e1:9000"].weight, listed["e2"].weight), (100.0, 1.0));
+}
