Token bucket: a rate of almost nothing makes a long wait, and no panic

Callers saw: with rereads-per-minute at 1e-20, which the check of the operator's file takes, the controller ended with a panic at the second reread of a registry, and again after each restart.

Cause: time_to_token converts missing / rate seconds by Duration::from_secs_f64, which panics beyond 1.8e19 s; the sum with the present time in take() could panic as well.

A wait is now cut at MAX_WAIT (30 days) where the conversion fails or the result is longer, and sums saturate; whoever waited asks again, so no token comes early. Membership's pacing worked the same wait out by itself, with a guard for the same panic: it asks the bucket now.

--- a/crates/membership/src/handover.rs
+++ b/crates/membership/src/handover.rs
@@ -179,6 +179,6 @@
             return Some(due_at);
         }
         let allowed = self.bucket.try_take();
-        (!allowed).then(|| self.pacing.next_change_at(self.now, &self.bucket))
+        (!allowed).then(|| self.bucket.next_token_at(self.now))
     }
 }
--- a/crates/membership/src/pacing.rs
+++ b/crates/membership/src/pacing.rs
@@ -4,12 +4,6 @@
 
 use dahliaroad_pacing::{RefillRate, TokenBucket};
 
-/// Shortest wait for the next change. A wait that rounds to zero would be asked for again and again.
-const MIN_WAIT: Duration = Duration::from_millis(1);
-
-/// Changes per second that waits are computed for at least, so that a wait stays finite.
-const MIN_RATE_FOR_WAIT: f64 = 0.01;
-
 /// The delay of a return doubles so many times at most, so that its factor stays a 32-bit number.
 const MAX_DOUBLINGS: u32 = 16;
 
@@ -48,13 +42,6 @@
     pub(crate) fn bucket(&self) -> TokenBucket {
         TokenBucket::new(self.burst, RefillRate::per_second(self.changes_per_second))
     }
-
-    /// When a bucket that was refilled now and is empty has a change again.
-    pub(crate) fn next_change_at(&self, now: Duration, bucket: &TokenBucket) -> Duration {
-        let rate = self.changes_per_second.max(MIN_RATE_FOR_WAIT);
-        let seconds = ((1.0 - bucket.tokens()) / rate).max(0.0);
-        now + Duration::from_secs_f64(seconds).max(MIN_WAIT)
-    }
 }
 
 /// How often an endpoint has ended of late.
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -8,5 +8,11 @@
 mod backoff;
 mod token_bucket;
 
+use std::time::Duration;
+
+/// The longest wait that this package asks for. Whoever waits that long asks again; a time that it is added to stays one that
+/// clocks can say.
+pub const MAX_WAIT: Duration = Duration::from_secs(30 * 24 * 3600);
+
 pub use backoff::Backoff;
 pub use token_bucket::{RefillRate, TokenBucket};
--- a/crates/pacing/src/token_bucket.rs
+++ b/crates/pacing/src/token_bucket.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::MAX_WAIT;
+
 /// Shortest wait for a token. A wait that rounds to zero would be asked for again and again.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
@@ -44,13 +46,18 @@
         self.tokens = self.capacity.max(tokens);
     }
 
-    /// Takes a token, or returns the time at which one is available.
+    /// Takes a token, or returns the time at which to ask again: when one is available, or after [`MAX_WAIT`].
     pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
         self.refill(now);
         if self.try_take() {
             return Ok(());
         }
-        Err(now + self.time_to_token().max(MIN_WAIT))
+        Err(self.next_token_at(now))
+    }
+
+    /// When to ask a bucket that was refilled now for its next token: later than now, and after [`MAX_WAIT`] at most.
+    pub fn next_token_at(&self, now: Duration) -> Duration {
+        now.saturating_add(self.time_to_token().max(MIN_WAIT))
     }
 
     /// Adds the tokens that are due since the last refill. A clock that goes back adds none.
@@ -75,9 +82,14 @@
         self.tokens
     }
 
-    /// Time from the last refill to the next token; zero if there is one.
+    /// Time from the last refill to the next token, [`MAX_WAIT`] at most; zero if there is one. At a rate of almost nothing
+    /// the seconds are more than a [`Duration`] holds.
     pub fn time_to_token(&self) -> Duration {
-        let missing = (1.0 - self.tokens).max(0.0);
-        Duration::from_secs_f64(missing * self.rate.period_seconds / self.rate.tokens)
+        let missing = 1.0 - self.tokens;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = missing * self.rate.period_seconds / self.rate.tokens;
+        Duration::try_from_secs_f64(seconds).map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
     }
 }
