Health checks: an outcome for an endpoint that nothing has named is left out

Callers saw: the simulation ended with a panic where the outcome of a health check names an endpoint that no list had. On sockets only listed endpoints are checked, so no controller in service ended by it.

Cause: Assigner::health_check_finished indexed the endpoints it knows by the number of the outcome; the simulation gives a number to every name it meets.

The outcome is left out where the number is beyond what a list or a report has named: such an endpoint has no health to record.

--- a/src/handlers.rs
+++ b/src/handlers.rs
@@ -89,14 +89,17 @@
         self.run_rules(now)
     }
 
-    /// A health check that was ordered has ended.
+    /// A health check that was ordered has ended. The outcome for an endpoint that no list and no report has named is left
+    /// out.
     pub fn health_check_finished(
         &mut self,
         now: Duration,
         endpoint: EndpointId,
         outcome: HealthCheckOutcome,
     ) -> Orders {
-        self.record_health_check(endpoint.index(), outcome);
+        if endpoint.index() < self.endpoints.len() {
+            self.record_health_check(endpoint.index(), outcome);
+        }
         self.run_rules(now)
     }
 
