Assigner: events of zones and classes that do not exist are left out

Cause: kin of the health check's index: proxy_joined, endpoint_report, demand_report and update_endpoints index by zone or class unchecked.

Evidence: the new test unknown_ids::an_event_that_names_what_does_not_exist_ changes_nothing panics on the text before (state/assigner.rs:155, index 99 of 2). It names what does not exist in every public method of the assigner.

Each of these events is now left out, by one check each of the deployment's zones and classes; of a list entry, what was known of its endpoint stands.

--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::ids::{ClassId, ZoneId};
+
 /// What one class of requests asks for.
 #[derive(Clone, Debug)]
 pub struct ClassSettings {
@@ -74,3 +76,13 @@
     /// An endpoint that warms up collapses when it is sent this many times what it can serve.
     pub cold_overload_factor: f64,
 }
+
+impl Deployment {
+    pub(crate) fn has_zone(&self, zone: ZoneId) -> bool {
+        zone.index() < self.zones
+    }
+
+    pub(crate) fn has_class(&self, class: ClassId) -> bool {
+        class.index() < self.classes.len()
+    }
+}
--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -9,7 +9,8 @@
 
 impl Assigner {
     /// Takes in the list. What is listed while no endpoint is open counts as having run before this controller did, also
-    /// after all endpoints have left; else an endpoint that is added, or has started anew, begins a slow start.
+    /// after all endpoints have left; else an endpoint that is added, or has started anew, begins a slow start. Of an entry
+    /// whose zone does not exist, what was known of its endpoint stands.
     pub(crate) fn apply_endpoint_list(&mut self, now: Duration, complete: bool, entries: &[EndpointUpdate]) {
         let highest = entries.iter().map(|entry| entry.endpoint.index() + 1).max();
         self.endpoints.grow(highest.unwrap_or(0));
@@ -22,6 +23,8 @@
             match entry.state {
                 EndpointState::Removed => self.remove_from_list(now, endpoint),
                 EndpointState::Released => self.release(now, endpoint),
+                EndpointState::Running | EndpointState::Draining if !self.deployment.has_zone(entry.zone) => {
+                }
                 EndpointState::Running | EndpointState::Draining => {
                     self.take_in_entry(now, entry, none_was_open)
                 }
--- a/src/handlers.rs
+++ b/src/handlers.rs
@@ -1,5 +1,6 @@
 //! The events that an assigner is notified of: each public method takes one in, runs the rules and returns what they
-//! ordered.
+//! ordered. An event that names a zone, class, endpoint or proxy that the deployment does not have is left out; to count and
+//! log it is the caller's part, who knows the peer.
 
 use std::time::Duration;
 
@@ -42,6 +43,9 @@
 
     /// A proxy of a zone joined, with a rough figure of its requests a second.
     pub fn proxy_joined(&mut self, now: Duration, proxy: ProxyId, zone: ZoneId, rate: f64) -> Orders {
+        if !self.deployment.has_zone(zone) {
+            return self.run_rules(now);
+        }
         let locality = if self.shards.localities > 1 { zone.index() } else { 0 };
         let shard = self.least_loaded_shard(locality);
         self.now = now;
@@ -71,8 +75,10 @@
         endpoint: EndpointId,
         report: EndpointReport,
     ) -> Orders {
-        self.schedule.last_report_at = Some(now);
-        self.record_endpoint_report(now, zone, endpoint, report);
+        if self.deployment.has_zone(zone) {
+            self.schedule.last_report_at = Some(now);
+            self.record_endpoint_report(now, zone, endpoint, report);
+        }
         self.run_rules(now)
     }
 
@@ -84,13 +90,14 @@
         class: ClassId,
         report: DemandReport,
     ) -> Orders {
-        self.schedule.last_report_at = Some(now);
-        self.record_demand_report(now, proxy, class, report);
+        if self.deployment.has_class(class) {
+            self.schedule.last_report_at = Some(now);
+            self.record_demand_report(now, proxy, class, report);
+        }
         self.run_rules(now)
     }
 
-    /// A health check that was ordered has ended. The outcome for an endpoint that no list and no report has named is left
-    /// out.
+    /// A health check that was ordered has ended.
     pub fn health_check_finished(
         &mut self,
         now: Duration,
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -15,6 +15,7 @@
 mod released_endpoints;
 mod slow_start;
 mod table_shards;
+mod unknown_ids;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
