Capacities: means by machine kind cost memory by the kinds that there are

On sockets kinds are looked up by name, so no controller met this.

Cause: kin of the indices by foreign ids: mean_capacities kept an array up to the highest number of a kind.

The new test unknown_ids::the_highest_number_of_a_machine_kind_costs_ no_memory fails so on the text before; it passes on a map of the kinds. Sums keep their order of addition.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -6,6 +6,7 @@
 //! With several controllers it is the part of the endpoint that this one can use: attempts are those of its own proxies,
 //! utilization is caused by all.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::demand::MIN_REPORT_SECONDS;
@@ -31,7 +32,8 @@
 /// Mean capacities of the endpoints that were heard of, in requests a second.
 pub(crate) struct MeanCapacities {
     pub overall: Option<f64>,
-    by_machine_kind: Vec<Option<f64>>,
+    /// Only of the kinds that were heard of: a peer may state any number as a kind.
+    by_machine_kind: BTreeMap<usize, f64>,
 }
 
 /// A running mean.
@@ -169,19 +171,16 @@
     }
 
     pub(crate) fn mean_capacities(&self) -> MeanCapacities {
-        let kinds = self.endpoints.iter().map(|endpoint| endpoint.listing.machine_kind + 1).max();
-        let mut by_machine_kind = vec![Mean::default(); kinds.unwrap_or(0)];
+        let mut by_machine_kind: BTreeMap<usize, Mean> = BTreeMap::new();
         let mut overall = Mean::default();
         for endpoint in self.endpoints.iter() {
             if let Some(capacity) = endpoint.history.capacity() {
-                by_machine_kind[endpoint.listing.machine_kind].add(capacity);
+                by_machine_kind.entry(endpoint.listing.machine_kind).or_default().add(capacity);
                 overall.add(capacity);
             }
         }
-        MeanCapacities {
-            overall: overall.value(),
-            by_machine_kind: by_machine_kind.into_iter().map(Mean::value).collect(),
-        }
+        let mean_by_kind = by_machine_kind.into_iter().filter_map(|(kind, mean)| Some((kind, mean.value()?)));
+        MeanCapacities { overall: overall.value(), by_machine_kind: mean_by_kind.collect() }
     }
 }
 
@@ -189,7 +188,7 @@
 /// of, as few reports say little and kinds differ. Its listed weight stands in until anything was heard of.
 fn warm_capacity(endpoint: &Endpoint, means: &MeanCapacities) -> f64 {
     let Some(overall) = means.overall else { return endpoint.listing.weight };
-    let usual = means.by_machine_kind[endpoint.listing.machine_kind].unwrap_or(overall);
+    let usual = means.by_machine_kind.get(&endpoint.listing.machine_kind).copied().unwrap_or(overall);
     let rounds = endpoint.history.averaged_rounds;
     let own = endpoint.history.capacity().unwrap_or(usual);
     let capacity = (rounds * own + (CAPACITY_ROUNDS - rounds) * usual) / CAPACITY_ROUNDS;
--- a/tests/scenarios/unknown_ids.rs
+++ b/tests/scenarios/unknown_ids.rs
@@ -40,3 +40,13 @@
     assert_eq!(harness.tables.keys().collect::<Vec<_>>(), before.keys().collect::<Vec<_>>());
     assert!(harness.tables.values().all(|weights| weights.keys().all(|endpoint| *endpoint < 6)));
 }
+
+/// The bench's wire states kinds of machine as numbers of 32 bits, whatever they are. Memory has to go by the kinds that
+/// there are, not by the highest number: 4 billion places would end the process.
+#[test]
+fn the_highest_number_of_a_machine_kind_costs_no_memory() {
+    let mut harness = Harness::running(deployment(), 6);
+    harness.update_list(false, &[EndpointUpdate { kind: u32::MAX, ..listed(0, 0) }]);
+    harness.play_seconds(3, 10.0, HEALTHY);
+    assert!(harness.tables.values().all(|weights| weights[&0] > 0.0), "{:?}", harness.tables);
+}
