Settings: spans of which no multiple can be held are refused

Callers saw: a report interval, a covered time or a moment near the largest span ended the process with "overflow when multiplying duration by scalar", a controller by report_every_ms of its configuration, the simulation by t_ms and covers_ms too.

Evidence: by hand on with 1.8e22 ms: exit 101 for covers_ms, t_ms and report_every_ms. The new test times_of_which_no_multiple_can_be_held_ are_refused (crates/simulation/tests/errors.rs) fails so on the text before.

Spans end at 1e12 s, as the starts in discovery's list do; the error is the one that there was.

--- a/crates/settings/src/duration.rs
+++ b/crates/settings/src/duration.rs
@@ -4,7 +4,10 @@
 
 use thiserror::Error;
 
-/// A number of milliseconds that is negative, not finite, or beyond what a [`Duration`] holds.
+/// Spans are at most this many seconds, so that sums and multiples of them stay below what a [`Duration`] holds.
+const MAX_SPAN_SECONDS: f64 = 1e12;
+
+/// A number of milliseconds that is negative, no number, or of more than 1e12 seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Error)]
 #[error("{milliseconds} ms is not a span of time")]
 pub struct InvalidDuration {
@@ -14,5 +17,7 @@
 
 /// The duration of so many milliseconds.
 pub fn duration_from_millis(milliseconds: f64) -> Result<Duration, InvalidDuration> {
-    Duration::try_from_secs_f64(milliseconds / 1000.0).map_err(|_| InvalidDuration { milliseconds })
+    let seconds = Some(milliseconds / 1000.0).filter(|seconds| *seconds <= MAX_SPAN_SECONDS);
+    let span = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    span.ok_or(InvalidDuration { milliseconds })
 }
--- a/crates/simulation/tests/errors.rs
+++ b/crates/simulation/tests/errors.rs
@@ -346,3 +346,24 @@
     let outcome = run(&[BATCH, &configure(1), health]);
     assert!(outcome.is_ok_and(|printed| printed.is_empty()) || !error_of(health).is_empty());
 }
+
+/// Times are stated that a span can just hold, but not twice of them. They are refused: the decisions add and multiply
+/// spans, and an overflow would end the program with a panic.
+#[test]
+fn times_of_which_no_multiple_can_be_held_are_refused() {
+    const LARGEST: f64 = 1.8e22;
+    let batch = json!({"batch": {"t_ms": LARGEST, "serial": 4}}).to_string();
+    let error = run(&[BATCH, &configure(1), YOUR_TURN, &batch, YOUR_TURN]).unwrap_err();
+    assert!(error.ends_with("ms is not a span of time"), "{error}");
+    let settings = configure(1).replace("\"report_every_ms\":1000", "\"report_every_ms\":1.8e22");
+    let error = run(&[BATCH, &settings, YOUR_TURN]).unwrap_err();
+    assert!(error.contains("'report_every_ms': 18000000000000000000000 ms is not a span"), "{error}");
+    for (event, field) in
+        [("traffic_report", "covers_ms"), ("traffic_report", "spent_ms"), ("offered_load", "covers_ms")]
+    {
+        let mut body = events().into_iter().find(|known| known.name == event).unwrap().body;
+        body[field] = json!(LARGEST);
+        let error = send(event, &body).unwrap_err();
+        assert!(error.ends_with("ms is not a span of time"), "{event} {field}: {error}");
+    }
+}
