Settings: a report interval of zero is refused, as its rounds never end

Callers saw: a controller whose configuration says report_every_ms 0 stands at its first event with a core busy, and answers no peer and no signal.

Cause: kin of the numbers that pass a check and fail in the arithmetic behind it. A round is over after half an interval, so at once; the loop of rules closes it, and finds the next one over.

Evidence: the demo's configuration with 0 on: 3.01 s of CPU in 3 s, SIGTERM without effect. The new test a_report_interval_of_zero_is_refused (crates/settings/tests/errors.rs) fails on the text before.

It is refused at the start, and the line names the field. One test's fixture had the value 0, which no check asserted: the least settings now say 1 ms.

--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -73,7 +73,7 @@
             endpoint_list_polled: settings.choice("registry_mode", &REGISTRY_MODES)?,
             removal_ends_traffic: self.removal_ends_traffic(),
             health_checks_allowed: limits.boolean("probes")?,
-            report_interval: domain.duration("report_every_ms")?,
+            report_interval: domain.duration_above_zero("report_every_ms")?,
             cross_zone_price: settings.object("deductions")?.non_negative_number("cross_zone")?,
             channel_lines_per_second: domain.non_negative_number("lines_per_s")?,
             channel_queue_lines: domain.non_negative_number("backlog")?,
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -109,6 +109,15 @@
             .map_err(|source| FieldError::InvalidDuration { field: field.to_owned(), source })
     }
 
+    /// A time in milliseconds that is not zero.
+    pub fn duration_above_zero(&self, field: &str) -> Result<Duration, FieldError> {
+        let duration = self.duration(field)?;
+        if duration.is_zero() {
+            return Err(self.missing_or_wrong_form(field, "a time above 0"));
+        }
+        Ok(duration)
+    }
+
     /// A time in milliseconds, zero where the field is missing.
     pub fn duration_or_zero(&self, field: &str) -> Result<Duration, FieldError> {
         if self.optional(field).is_none() {
--- a/crates/settings/tests/common/mod.rs
+++ b/crates/settings/tests/common/mod.rs
@@ -71,7 +71,7 @@
         "deductions": {"cross_zone": 0},
         "rules": {"start_capacity": 0, "warm_up_ms": 0, "fall_multiple": 0},
         "domain": {
-            "admit": "ratio", "key_ranges": 0, "proxy_count": 0, "homed_by_zone": false, "report_every_ms": 0,
+            "admit": "ratio", "key_ranges": 0, "proxy_count": 0, "homed_by_zone": false, "report_every_ms": 1,
             "lines_per_s": 0, "backlog": 0, "per_message": 0, "pushes_allowed": 0
         }
     })
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -156,6 +156,17 @@
     }
 }
 
+/// Reports are said to come without a pause between them. Rounds of no length would end one after the other for ever, at the
+/// first event; the error names the field.
+#[test]
+fn a_report_interval_of_zero_is_refused() {
+    for value in [json!(0), json!(0.0), json!(1e-9)] {
+        let mut settings = complete();
+        set(&mut settings, "domain.report_every_ms", value);
+        assert_eq!(error_of(&settings), "domain: field 'report_every_ms' is not a time above 0");
+    }
+}
+
 /// A later platform has a value that this program does not know. The error quotes it.
 #[test]
 fn an_unknown_word_of_a_choice_is_named() {
