Backoff: the longest span as a limit makes long delays, and no panic

Callers saw nothing: the operator's file takes pauses of 7 days at most, which holds. An owner that passes a longer one would have ended by a panic.

Both limits are cut at MAX_WAIT once, where the backoff is made. The fake registry's command for leases returns an error for a negative number, where it panicked.

--- a/crates/fakes/src/bin/fake-registry.rs
+++ b/crates/fakes/src/bin/fake-registry.rs
@@ -83,7 +83,7 @@
             "run" => set_state(store, &key, "running")?,
             "delete" => drop(store.delete(&key)),
             "lease" => {
-                let time_to_live = Duration::from_secs_f64(self.rest.parse()?);
+                let time_to_live = Duration::try_from_secs_f64(self.rest.parse()?)?;
                 let value = with_state(store, &key, "running")?;
                 store.put_leased(&key, &value, 1, time_to_live);
             }
--- a/crates/pacing/src/backoff.rs
+++ b/crates/pacing/src/backoff.rs
@@ -5,6 +5,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::MAX_WAIT;
+
 /// How a delay is drawn from the state of the backoff.
 #[derive(Clone, Copy, Debug)]
 enum Jitter {
@@ -26,15 +28,20 @@
 
 impl Backoff {
     /// Equal jitter: each delay is between half of a step and the whole of it. The step begins with `initial` and doubles
-    /// with each delay, up to `max`.
+    /// with each delay, up to `max`. Both are cut at [`MAX_WAIT`].
     pub fn equal_jitter(initial: Duration, max: Duration, rng: ChaCha8Rng) -> Backoff {
-        Backoff { jitter: Jitter::Equal, initial, max, step: initial, rng }
+        Backoff::new(Jitter::Equal, initial, max, rng)
     }
 
     /// Decorrelated jitter: each delay is between half of `initial` and three times the previous delay, and no longer than
-    /// `max`.
+    /// `max`. Both are cut at [`MAX_WAIT`].
     pub fn decorrelated_jitter(initial: Duration, max: Duration, rng: ChaCha8Rng) -> Backoff {
-        Backoff { jitter: Jitter::Decorrelated, initial, max, step: initial, rng }
+        Backoff::new(Jitter::Decorrelated, initial, max, rng)
+    }
+
+    fn new(jitter: Jitter, initial: Duration, max: Duration, rng: ChaCha8Rng) -> Backoff {
+        let initial = initial.min(MAX_WAIT);
+        Backoff { jitter, initial, max: max.min(MAX_WAIT), step: initial, rng }
     }
 
     /// Starts again from the initial delay, after a success.
--- a/crates/pacing/tests/backoff.rs
+++ b/crates/pacing/tests/backoff.rs
@@ -82,3 +82,19 @@
         assert!(backoff.next_delay() <= 150 * MS);
     }
 }
+
+/// An owner passes the longest span that there is, or one near it. Delays are long then, and drawing them must not panic.
+#[test]
+fn the_longest_span_as_a_limit_makes_long_delays_and_no_panic() {
+    for longest in [Duration::MAX, Duration::MAX - Duration::from_secs(1), Duration::from_secs(u64::MAX / 2)] {
+        for mut backoff in [
+            Backoff::equal_jitter(longest, longest, rng(1)),
+            Backoff::decorrelated_jitter(longest, longest, rng(1)),
+            Backoff::decorrelated_jitter(MS, longest, rng(1)),
+        ] {
+            let delays: Vec<Duration> = (0..100).map(|_| backoff.next_delay()).collect();
+            assert!(delays[99] > 600 * Duration::from_secs(1), "{delays:?}");
+            assert!(delays.iter().all(|delay| *delay <= dahliaroad_pacing::MAX_WAIT), "{delays:?}");
+        }
+    }
+}
