--- a/crates/pacing/tests/backoff.rs
+++ b/crates/pacing/tests/backoff.rs
@@ -86,7 +86,8 @@
 /// An owner passes the longest span that there is, or one near it. Delays are long then, and drawing them must not panic.
 #[test]
 fn the_longest_span_as_a_limit_makes_long_delays_and_no_panic() {
-    for longest in [Duration::MAX, Duration::MAX - Duration::from_secs(1), Duration::from_secs(u64::MAX / 2)] {
+    for longest in [Duration::MAX, Duration::MAX - Duration::from_secs(1), Duration::from_secs(u64::MAX / 2)]
+    {
         for mut backoff in [
             Backoff::equal_jitter(longest, longest, rng(1)),
             Backoff::decorrelated_jitter(longest, longest, rng(1)),
