Log: a reader that has ended does not end the controller

Callers saw: a log collector that restarted ended every controller that was logging more than 40 lines a second: exit 101, all proxies rejoin elsewhere.

Cause: the count of lines left out was written with eprintln!, which panics on a broken pipe. It is reached only past the limit of lines a second.

logging::write_line loses the line in place of panicking; it serves the errors of start and end in serve.rs as well, which changed the exit code in the same way.

--- a/crates/controller/src/logging.rs
+++ b/crates/controller/src/logging.rs
@@ -1,14 +1,16 @@
 //! The log: lines on standard error, at a bounded rate, so that a peer's bad input cannot fill it. A write to standard error
 //! blocks the only thread: a reader of the log that stops reading holds the controller up once the pipe is full.
 
+use std::fmt;
+use std::io::{self, Write};
 use std::sync::Mutex;
 use std::time::Instant;
 
 use tracing::{Event, Metadata, Subscriber};
+use tracing_subscriber::Layer;
 use tracing_subscriber::fmt::time::uptime;
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
 use tracing_subscriber::util::SubscriberInitExt;
-use tracing_subscriber::{Layer, fmt};
 
 /// Enough for any fault to show, too few to cost anything.
 const MAX_LINES_PER_SECOND: u32 = 40;
@@ -73,7 +75,7 @@
         let Decision { write, dropped_before } = window.admit(second);
         drop(window);
         if dropped_before > 0 {
-            eprintln!("{second:9}.000 {dropped_before} lines left out");
+            write_line(format_args!("{second:9}.000 {dropped_before} lines left out"));
         }
         write
     }
@@ -87,11 +89,19 @@
     text.trim_end().chars().map(escape).collect()
 }
 
+/// Writes a line beside the log. A reader that has gone is no reason to end: the line is lost then, where `eprintln!` panics.
+pub fn write_line(line: fmt::Arguments<'_>) {
+    let _ = writeln!(io::stderr(), "{line}");
+}
+
 /// Installs the log for the whole program. A second call changes nothing.
 pub fn start(format: LogFormat) {
     let rate_limit = RateLimit { start: Instant::now(), window: Mutex::default() };
-    let lines =
-        fmt::layer().with_writer(std::io::stderr).with_timer(uptime()).with_ansi(false).with_target(false);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_writer(io::stderr)
+        .with_timer(uptime())
+        .with_ansi(false)
+        .with_target(false);
     let lines = match format {
         LogFormat::Text => lines.with_filter(rate_limit).boxed(),
         LogFormat::Json => lines.json().flatten_event(true).with_filter(rate_limit).boxed(),
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -49,7 +49,7 @@
     match run_on_one_thread(read_files_and_serve(arguments)) {
         Ok(exit) => exit,
         Err(error) => {
-            eprintln!("dahliaroad: {error}");
+            logging::write_line(format_args!("dahliaroad: {error}"));
             ExitCode::FAILURE
         }
     }
@@ -61,7 +61,9 @@
     let operator_config = match operator_file::read(arguments.options.as_deref()) {
         Ok(operator_config) => operator_config,
         Err(error) => {
-            error.lines().iter().for_each(|line| eprintln!("dahliaroad: options: {line}"));
+            for line in error.lines() {
+                logging::write_line(format_args!("dahliaroad: options: {line}"));
+            }
             return Ok(ExitCode::FAILURE);
         }
     };
@@ -70,7 +72,7 @@
     let configuration = match StartupConfiguration::read(arguments.config.as_deref()) {
         Ok(configuration) => configuration,
         Err(error) => {
-            eprintln!("dahliaroad: configuration: {error}");
+            logging::write_line(format_args!("dahliaroad: configuration: {error}"));
             return Ok(ExitCode::FAILURE);
         }
     };
--- a/crates/controller/tests/harness/controller_process.rs
+++ b/crates/controller/tests/harness/controller_process.rs
@@ -1,6 +1,6 @@
 //! The program under test as a process of its own: its configuration file, its signals and its log.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -10,10 +10,10 @@
 
 use dahliaroad_demo::frame;
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
-use tokio::task::spawn_local;
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use super::{WAIT_TIMEOUT, wait_until};
@@ -37,6 +37,29 @@
     pub address: SocketAddr,
     /// Its log lines so far, without the first.
     pub log: Rc<RefCell<Vec<String>>>,
+    log_reader: LogReader,
+}
+
+/// Reads the log as it is written, unless a test has it stop.
+struct LogReader {
+    is_stopped: Rc<Cell<bool>>,
+    task: AbortHandle,
+}
+
+impl LogReader {
+    fn start(mut lines: Lines<BufReader<ChildStderr>>, log: Rc<RefCell<Vec<String>>>) -> LogReader {
+        let is_stopped = Rc::new(Cell::new(false));
+        let stopped = is_stopped.clone();
+        let reading = spawn_local(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                log.borrow_mut().push(line);
+                while stopped.get() {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            }
+        });
+        LogReader { is_stopped, task: reading.abort_handle() }
+    }
 }
 
 impl ControllerProcess {
@@ -54,13 +77,19 @@
         let first = lines.next_line().await.unwrap().expect("a first line");
         let address = first.rsplit(' ').next().unwrap().parse().expect(&first);
         let log = Rc::new(RefCell::new(Vec::new()));
-        let appended = log.clone();
-        spawn_local(async move {
-            while let Ok(Some(line)) = lines.next_line().await {
-                appended.borrow_mut().push(line);
-            }
-        });
-        ControllerProcess { process, configuration_file, address, log }
+        let log_reader = LogReader::start(lines, log.clone());
+        ControllerProcess { process, configuration_file, address, log, log_reader }
+    }
+
+    /// Leaves the log unread from here on, or reads it again.
+    pub fn stop_reading_log(&self, is_stopped: bool) {
+        self.log_reader.is_stopped.set(is_stopped);
+    }
+
+    /// Ends the reader of the log: whatever is written from here on fails.
+    pub async fn end_log_reader(&self) {
+        self.log_reader.task.abort();
+        sleep(Duration::from_millis(20)).await;
     }
 
     /// Sends a signal, named as `kill` takes it (`-HUP`).
