Log: no write to the log holds up decisions, drains or the end

Cause: the only thread wrote to standard error itself, and waited for room.

Dropped ones are counted, before the next line that is taken and among the counters.

--- a/crates/controller/src/counters.rs
+++ b/crates/controller/src/counters.rs
@@ -99,6 +99,9 @@
     ZONES_REJECTED: "zones refused",
     /// Zone files that changed while they were read, or were gone before or after it.
     ZONES_CHANGED_WHILE_READ: "zones that changed while they were read",
+    /// Lines of the log that were dropped, as its reader stopped or ended. Those over the limit of lines a second are not
+    /// among them.
+    LOG_LINES_DROPPED: "log lines dropped unread",
 }
 
 /// All counters in one line, those of the runtime behind those of the controller.
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -46,6 +46,7 @@
 
 /// Serves until the program is told to end.
 pub fn run(arguments: &Arguments) -> ExitCode {
+    let _flushed_at_the_end = logging::open();
     match run_on_one_thread(read_files_and_serve(arguments)) {
         Ok(exit) => exit,
         Err(error) => {
@@ -77,6 +78,7 @@
         }
     };
     let result = serve(configuration, &operator_config, arguments, &mut signals).await;
+    counters::LOG_LINES_DROPPED.set(logging::dropped_lines());
     tracing::info!("{}", counters::line());
     result.map(|()| ExitCode::SUCCESS)
 }
--- a/crates/controller/src/serve/controller.rs
+++ b/crates/controller/src/serve/controller.rs
@@ -17,6 +17,7 @@
 use crate::discovery::{DiscoveryWatch, EndpointList};
 use crate::health_checks;
 use crate::known_names::KnownNames;
+use crate::logging;
 use crate::random::{RandomSeed, RandomStream};
 use crate::relay::{Dispatcher, RelayHealth, SharedOutbox, WatchStream};
 use crate::reload::Reloader;
@@ -171,6 +172,7 @@
 
     async fn log_counters(&self) {
         counters::RELAY_SILENT_MS.set(self.relay_health.silence().as_millis() as usize);
+        counters::LOG_LINES_DROPPED.set(logging::dropped_lines());
         tracing::info!("{}", counters::line());
         let known_names = self.known_names.clone();
         let log: Input = Box::new(move |runtime, now| {
--- a/crates/controller/tests/log_reader.rs
+++ b/crates/controller/tests/log_reader.rs
@@ -52,3 +52,39 @@
         assert_terminates(&mut controller).await;
     });
 }
+
+/// A log collector hangs while much is logged, and the pipe to it fills. Drains, reloads and the end go on as without a log.
+#[test]
+fn a_log_reader_that_stops_reading_holds_up_neither_drains_nor_the_end() {
+    run_scenario(async {
+        let (fleet, mut controller) = start_fleet_and_controller(4).await;
+        controller.stop_reading_log(true);
+        log_a_flood(&controller).await;
+        controller.assert_alive().await;
+        assert_drains(&fleet, "e0").await;
+        controller.signal("-HUP");
+        assert_drains(&fleet, "e1").await;
+        assert_terminates(&mut controller).await;
+    });
+}
+
+/// The log collector hangs for a while and then reads on. It reads lines that are whole, and how many were left out.
+#[test]
+fn a_log_reader_that_comes_back_reads_whole_lines_and_how_many_are_missing() {
+    run_scenario(async {
+        let (_fleet, controller) = start_fleet_and_controller(4).await;
+        controller.stop_reading_log(true);
+        for _ in 0..8 {
+            log_a_flood(&controller).await;
+        }
+        controller.stop_reading_log(false);
+        sleep(Duration::from_millis(1100)).await;
+        controller.wait_for_counter("log lines dropped unread", 1).await;
+        wait_until("count", || controller.has_logged("log lines dropped, as the log was not read")).await;
+        let log = controller.log.borrow();
+        let is_about_the_log = |line: &str| line.contains("left out") || line.contains("log lines dropped");
+        let is_whole =
+            |line: &str| line.contains(" INFO ") || line.contains(" WARN ") || is_about_the_log(line);
+        assert_eq!(log.iter().find(|line| !is_whole(line)), None);
+    });
+}
