Commands: output that nobody reads any more is no panic

Evidence: the new test output_that_nobody_reads_changes_no_exit_code (crates/controller/tests/commands.rs) fails on the text before: 101 in place of 0 for zone.

Lines are written by print_line, which returns the error, and print_error, which loses the line. The fleet followed ends with 0 once its reader has gone.

--- a/crates/controller/src/commands/check.rs
+++ b/crates/controller/src/commands/check.rs
@@ -5,16 +5,17 @@
 
 use dahliaroad_config::ZoneFileConfig;
 
-use super::REJECTED_EXIT_CODE;
+use super::{REJECTED_EXIT_CODE, print_error, print_line};
 use crate::operator_file;
 use crate::startup::StartupConfiguration;
 
 /// Prints a line for each fault of a file, or one that says that there is none.
 pub fn check(path: &Path) -> ExitCode {
     let faults = find_faults(path);
-    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    faults.iter().for_each(|fault| print_error(fault));
     if faults.is_empty() {
-        println!("{}: no fault found", path.display());
+        // The exit code says it too.
+        let _ = print_line(format_args!("{}: no fault found", path.display()));
         return ExitCode::SUCCESS;
     }
     ExitCode::from(REJECTED_EXIT_CODE)
--- a/crates/controller/src/commands/compare_zones.rs
+++ b/crates/controller/src/commands/compare_zones.rs
@@ -7,7 +7,7 @@
 use dahliaroad_dns::{RecordData, Schema, Zone, ZoneEndpoint};
 use dahliaroad_membership::{ServingState, Topology};
 
-use super::REJECTED_EXIT_CODE;
+use super::{REJECTED_EXIT_CODE, print_error, print_line};
 
 /// Prints a line for each endpoint that changes, and how many do.
 pub fn compare_zones(old: &Path, new: &Path, apex: &str, service: &str) -> ExitCode {
@@ -17,21 +17,22 @@
         return ExitCode::from(REJECTED_EXIT_CODE);
     };
     if let Err(reason) = new_zone.follows(&old_zone) {
-        eprintln!("{}: would be refused: {reason}", new.display());
+        print_error(format_args!("{}: would be refused: {reason}", new.display()));
         return ExitCode::from(REJECTED_EXIT_CODE);
     }
     let schema = Schema { service: service.to_owned(), topology: topology_of(&[&old_zone, &new_zone]) };
     let old_endpoints = map_endpoints(old, &old_zone, &schema);
     let new_endpoints = map_endpoints(new, &new_zone, &schema);
     let changes = describe_changes(&old_endpoints, &new_endpoints);
-    changes.iter().for_each(|change| println!("{change}"));
-    println!(
+    let summary = format!(
         "serial {} to {}: {} of {} endpoints change",
         old_zone.serial,
         new_zone.serial,
         changes.len(),
         old_endpoints.len()
     );
+    // Whoever ended the output has read enough.
+    let _ = changes.iter().chain([&summary]).try_for_each(print_line);
     ExitCode::SUCCESS
 }
 
@@ -40,7 +41,7 @@
     match dahliaroad_dns::load_zone(apex, path) {
         Ok(zone) => Some(zone),
         Err(faults) => {
-            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            faults.iter().for_each(|fault| print_error(fault));
             None
         }
     }
@@ -65,7 +66,7 @@
 fn map_endpoints(path: &Path, zone: &Zone, schema: &Schema) -> BTreeMap<String, ZoneEndpoint> {
     let mapped = schema.map(zone);
     for problem in &mapped.problems {
-        eprintln!("{}: {}: {}", path.display(), problem.owner, problem.reason);
+        print_error(format_args!("{}: {}: {}", path.display(), problem.owner, problem.reason));
     }
     mapped.endpoints
 }
--- a/crates/controller/src/commands/show_fleet.rs
+++ b/crates/controller/src/commands/show_fleet.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use super::REJECTED_EXIT_CODE;
+use super::{REJECTED_EXIT_CODE, print_error, print_line};
 use crate::arguments::Arguments;
 use crate::executor::run_on_one_thread;
 use crate::operator_file;
@@ -65,15 +65,17 @@
     let view = FleetView { follow, json, source_timeout };
     match run_on_one_thread(follow_fleet(&config, &startup, view)) {
         Ok(()) => ExitCode::SUCCESS,
+        // Whoever ended the output has read enough.
+        Err(FleetError::Io(error)) if error.kind() == io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("dahliaroad: {error}");
+            print_error(format_args!("dahliaroad: {error}"));
             ExitCode::FAILURE
         }
     }
 }
 
 fn reject(lines: &[String]) -> ExitCode {
-    lines.iter().for_each(|line| eprintln!("dahliaroad: {line}"));
+    lines.iter().for_each(|line| print_error(format_args!("dahliaroad: {line}")));
     ExitCode::from(REJECTED_EXIT_CODE)
 }
 
@@ -100,7 +102,10 @@
     show_changes(&membership, source_count, &topology, &view, clock).await?;
     for state in membership.borrow().source_states().iter().filter(|state| state.position.is_none()) {
         let within = view.source_timeout;
-        eprintln!("dahliaroad: {} told nothing within {within:?}: its endpoints are not shown", state.name);
+        print_error(format_args!(
+            "dahliaroad: {} told nothing within {within:?}: its endpoints are not shown",
+            state.name
+        ));
     }
     Ok(())
 }
@@ -138,7 +143,8 @@
             return Err(FleetError::NothingHeard(view.source_timeout));
         }
         if let Some(changes) = membership.borrow_mut().take_changes(clock.now()) {
-            changes.entries.iter().for_each(|change| print_change(change, topology, view.json));
+            let mut changes = changes.entries.iter();
+            changes.try_for_each(|change| print_line(describe_change(change, topology, view.json)))?;
             has_shown = true;
             quiet_since = Instant::now();
         }
@@ -148,20 +154,16 @@
     }
 }
 
-fn print_change(change: &Change, topology: &Topology, json: bool) {
+fn describe_change(change: &Change, topology: &Topology, json: bool) -> String {
     let name = &change.name;
     if json {
-        println!("{}", json_object(name, change.entry.as_ref(), topology));
-        return;
+        return json_object(name, change.entry.as_ref(), topology).to_string();
     }
-    let Some(entry) = &change.entry else {
-        println!("{name:24} gone");
-        return;
-    };
+    let Some(entry) = &change.entry else { return format!("{name:24} gone") };
     let state = entry.serving_state.as_str();
     let address = entry.address.map_or("-".to_owned(), |address| address.to_string());
     let zone = topology.zones.get(entry.zone.0 as usize).map_or("?", String::as_str);
-    println!("{name:24} {state:9} {address:21} {zone} weight {}", entry.weight);
+    format!("{name:24} {state:9} {address:21} {zone} weight {}", entry.weight)
 }
 
 fn json_object(name: &str, entry: Option<&Entry>, topology: &Topology) -> Value {
--- a/crates/controller/tests/commands.rs
+++ b/crates/controller/tests/commands.rs
@@ -1,7 +1,9 @@
 //! What the commands beside serving print, word for word, and their exit codes.
 
 use std::path::Path;
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread::sleep;
+use std::time::Duration;
 
 const FILES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/commands");
 
@@ -73,3 +75,33 @@
         assert_eq!((output.status.code(), text(&output.stderr)), (Some(exit_code), line), "{words:?}");
     }
 }
+
+/// The output goes to `head`, which ends after a line, or to nobody. That is no fault: no panic, and the exit code is as it
+/// would be.
+#[test]
+fn output_that_nobody_reads_changes_no_exit_code() {
+    let zone = ["zone", "old.zone", "new.zone", "--apex", "fleet.example", "--service", "_ledger._tcp"];
+    let fleet =
+        ["fleet", "--follow", "--options", "fleet.xml", "--config", "../../../../demo/controller.json"];
+    let cases: [(&[&str], i32); 4] =
+        [(&zone, 0), (&["check", "fleet.xml"], 0), (&["check", "old.zone"], 2), (&fleet, 0)];
+    for (words, code) in cases {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dahliaroad"));
+        command.current_dir(Path::new(FILES)).env_remove("ROUTER_CONFIG").env_remove("DAHLIAROAD_OPTIONS");
+        let mut process = command.args(words).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        drop((process.stdout.take(), process.stderr.take()));
+        assert_eq!(exit_code(process), Some(code), "{words:?}");
+    }
+}
+
+/// The exit code of a process that ends within half a minute.
+fn exit_code(mut process: Child) -> Option<i32> {
+    for _ in 0..300 {
+        if let Some(status) = process.try_wait().unwrap() {
+            return status.code();
+        }
+        sleep(Duration::from_millis(100));
+    }
+    process.kill().unwrap();
+    panic!("it did not end");
+}
