--- a/crates/controller/src/commands/check.rs
+++ b/crates/controller/src/commands/check.rs
@@ -12,7 +12,7 @@
 /// Prints a line for each fault of a file, or one that says that there is none.
 pub fn check(path: &Path) -> ExitCode {
     let faults = find_faults(path);
-    faults.iter().for_each(|fault| print_error(fault));
+    faults.iter().for_each(print_error);
     if faults.is_empty() {
         // The exit code says it too.
         let _ = print_line(format_args!("{}: no fault found", path.display()));
--- a/crates/controller/src/commands/compare_zones.rs
+++ b/crates/controller/src/commands/compare_zones.rs
@@ -41,7 +41,7 @@
     match dahliaroad_dns::load_zone(apex, path) {
         Ok(zone) => Some(zone),
         Err(faults) => {
-            faults.iter().for_each(|fault| print_error(fault));
+            faults.iter().for_each(print_error);
             None
         }
     }
