Rounds: one ends by time too where reports come without a pause

Callers saw: with reports spread evenly, as at the sizes of CAPACITY.md, nothing was learnt, moved, shed or suspected but by the urgent rules.

Cause: ended_round waited for 20 ms without any report, without limit.

Evidence: tests/arrival_patterns.rs plays the same reports together, spread, in two clusters, with a straggler, at drawn moments and late by turns.

A round also ends an interval after its first report, less the grace of the last, so that every reporter is in it once. A report is new until a round has learnt from it, not by its time, and replaces one of the same zone and endpoint unless that came within the grace.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -12,6 +12,7 @@
 use crate::demand::MIN_REPORT_SECONDS;
 use crate::events::EndpointReport;
 use crate::ids::{EndpointId, ZoneId};
+use crate::rules::LAST_REPORT_GRACE;
 use crate::state::{Assigner, Endpoint, LoadHistory, ReportValidity};
 
 /// Rounds that a capacity is averaged over.
@@ -119,7 +120,8 @@
         let interval = self.deployment.report_interval;
         let stands_for = (report.interval * 2).min(interval * MAX_VALIDITY_INTERVALS).max(interval);
         let validity = ReportValidity {
-            round_started_at: self.schedule.round_started_at,
+            // A round may be longer than an interval, so that it alone tells no next report from a part of the same.
+            parts_since: now.saturating_sub(LAST_REPORT_GRACE),
             valid_until: now + stands_for,
             seconds: report.interval.as_secs_f64().max(MIN_REPORT_SECONDS),
         };
@@ -129,7 +131,7 @@
 
     /// Learns from the reports of the round that ends now.
     pub(crate) fn learn_from_round(&mut self) {
-        let reported = self.endpoints.sum_round(self.now, self.schedule.round_started_at);
+        let reported = self.endpoints.sum_round(self.now);
         self.update_fleet_load();
         for (endpoint, was_reported) in reported.into_iter().enumerate() {
             let is_warming_up = self.is_warming_up(endpoint);
--- a/src/handlers.rs
+++ b/src/handlers.rs
@@ -76,7 +76,7 @@
         report: EndpointReport,
     ) -> Orders {
         if self.deployment.has_zone(zone) {
-            self.schedule.last_report_at = Some(now);
+            self.schedule.record_report(now);
             self.record_endpoint_report(now, zone, endpoint, report);
         }
         self.run_rules(now)
@@ -91,7 +91,7 @@
         report: DemandReport,
     ) -> Orders {
         if self.deployment.has_class(class) {
-            self.schedule.last_report_at = Some(now);
+            self.schedule.record_report(now);
             self.record_demand_report(now, proxy, class, report);
         }
         self.run_rules(now)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 use crate::actions::Action;
 use crate::orders::Orders;
 use crate::publication::ORDINARY_CHANNEL_SHARE;
-use crate::state::Assigner;
+use crate::state::{Assigner, RoundReports};
 
 /// The longest time between two runs of the rules.
 const WAKE_UP_INTERVAL: Duration = Duration::from_millis(100);
@@ -17,7 +17,7 @@
 /// more than it brings.
 const MIN_REASSIGNMENT_INTERVAL: Duration = Duration::from_millis(100);
 /// The time from a report to the end of its round, in which the round's other reports arrive.
-const LAST_REPORT_GRACE: Duration = Duration::from_millis(20);
+pub(crate) const LAST_REPORT_GRACE: Duration = Duration::from_millis(20);
 /// How long a proxy counts as demand after its stream broke, where it can only come back to this controller.
 const DISCONNECTED_PROXY_MEMORY: Duration = Duration::from_secs(20);
 /// A message that is not acknowledged for so long is taken to have left the channel: its acknowledgement is lost.
@@ -84,13 +84,17 @@
         due.then_some(Action::PollEndpointList)
     }
 
-    /// A round ends a moment after the last report, but not before half a report interval has gone by. When no report comes
-    /// it ends after one and a half: slow starts go on all the same.
+    /// A round ends a moment after the last report, but not before half a report interval has gone by. Where reports come
+    /// without a pause it ends just before those who reported first report again: all others have done so once. When no
+    /// report comes it ends after one and a half intervals: slow starts go on all the same.
     fn ended_round(&self) -> Option<Action> {
         let lasted = self.now.saturating_sub(self.schedule.round_started_at);
         let interval = self.deployment.report_interval;
-        let is_over = match self.schedule.last_report_at {
-            Some(reported_at) => self.now >= reported_at + LAST_REPORT_GRACE && lasted * 2 >= interval,
+        let is_over = match self.schedule.reports {
+            Some(RoundReports { first_at, last_at }) => {
+                let is_quiet = self.now >= last_at + LAST_REPORT_GRACE && lasted * 2 >= interval;
+                is_quiet || self.now + LAST_REPORT_GRACE >= first_at + interval
+            }
             None => lasted * 2 >= interval * 3,
         };
         is_over.then_some(Action::CloseRound)
@@ -109,7 +113,7 @@
     /// Learns from the round's reports, if there were any, and moves all tables by a step.
     fn close_round(&mut self) {
         self.forget_disconnected_proxies();
-        if self.schedule.last_report_at.take().is_some() {
+        if self.schedule.reports.take().is_some() {
             self.learn_from_round();
             self.update_admission();
         }
--- a/src/state/assigner.rs
+++ b/src/state/assigner.rs
@@ -14,6 +14,13 @@
 use crate::ids::{EndpointId, ProxyId};
 use crate::solver::ShareSolver;
 
+/// When the reports of a round came.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoundReports {
+    pub first_at: Duration,
+    pub last_at: Duration,
+}
+
 /// When rules have acted, and when they are due.
 #[derive(Debug)]
 pub(crate) struct Schedule {
@@ -21,14 +28,22 @@
     pub poll_endpoint_list_at: Option<Duration>,
     pub wake_at: Duration,
     pub round_started_at: Duration,
-    /// When the last report of this round came, if any did.
-    pub last_report_at: Option<Duration>,
+    /// When the reports of this round came, if any did.
+    pub reports: Option<RoundReports>,
     /// Since the last assignment the list changed, an endpoint was ejected or reinstated, or a proxy joined while an
     /// endpoint warms up.
     pub reassignment_due: bool,
     pub reassigned_at: Option<Duration>,
 }
 
+impl Schedule {
+    /// A report has come in this round.
+    pub fn record_report(&mut self, now: Duration) {
+        let first_at = self.reports.map_or(now, |reports| reports.first_at);
+        self.reports = Some(RoundReports { first_at, last_at: now });
+    }
+}
+
 /// Whether orders may leave.
 #[derive(Debug, Default)]
 pub(crate) struct Delivery {
@@ -79,7 +94,7 @@
                 poll_endpoint_list_at,
                 wake_at: Duration::ZERO,
                 round_started_at: Duration::ZERO,
-                last_report_at: None,
+                reports: None,
                 reassignment_due: false,
                 reassigned_at: None,
             },
--- a/src/state/endpoints.rs
+++ b/src/state/endpoints.rs
@@ -195,17 +195,17 @@
         known.utilization = report.load.utilization.or(known.utilization);
     }
 
-    /// Adds up the reports of all zones that are still valid; returns, by endpoint, whether it was reported on after
-    /// `round_started_at`.
-    pub fn sum_round(&mut self, now: Duration, round_started_at: Duration) -> Vec<bool> {
+    /// Adds up the reports of all zones that are still valid; returns, by endpoint, whether one of them came since the last
+    /// call.
+    pub fn sum_round(&mut self, now: Duration) -> Vec<bool> {
         let mut reported = vec![false; self.len()];
         self.iter_mut().for_each(|endpoint| endpoint.last_round = AttemptRates::default());
-        for zone in &self.statistics_by_zone {
-            for (index, statistics) in zone.iter().enumerate() {
+        for zone in &mut self.statistics_by_zone {
+            for (index, statistics) in zone.iter_mut().enumerate() {
                 if statistics.valid_until <= now {
                     continue;
                 }
-                reported[index] |= statistics.reported_at > round_started_at;
+                reported[index] |= std::mem::take(&mut statistics.is_new);
                 self.endpoints[index].last_round.add(statistics.rates);
             }
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,6 +10,7 @@
 mod tables;
 
 pub use assigner::Assigner;
+pub(crate) use assigner::RoundReports;
 pub(crate) use channel::{UnacknowledgedMessage, nonce_precedes};
 pub(crate) use endpoints::{Endpoint, LoadHistory};
 pub(crate) use proxies::{ClassDemand, Proxy, UnconfirmedBinding};
--- a/src/state/reports.rs
+++ b/src/state/reports.rs
@@ -38,11 +38,12 @@
     }
 }
 
-/// Over which time a report is one with others, and until when it stands.
+/// Which earlier report is one with a report, and until when it stands.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReportValidity {
-    /// A report from before this moment gives way to a new one; later ones are added up.
-    pub round_started_at: Duration,
+    /// A report from before this moment gives way to the new one; one from this moment on is a part of it, and they are
+    /// added up.
+    pub parts_since: Duration,
     /// From this moment on the report says nothing any more.
     pub valid_until: Duration,
     /// The time that the report covers, in seconds.
@@ -55,13 +56,16 @@
     pub rates: AttemptRates,
     pub reported_at: Duration,
     pub valid_until: Duration,
+    /// No round has ended since the last report.
+    pub is_new: bool,
 }
 
 impl EndpointStatistics {
     pub fn add(&mut self, now: Duration, report: EndpointReport, validity: ReportValidity) {
-        if self.reported_at <= validity.round_started_at {
+        if self.reported_at < validity.parts_since {
             self.rates = AttemptRates::default();
         }
+        self.is_new = true;
         self.reported_at = now;
         self.valid_until = validity.valid_until;
         self.rates.add(AttemptRates::of(report, validity.seconds));
--- /dev/null
+++ b/tests/arrival_patterns.rs
@@ -0,0 +1,178 @@
+//! How reports are spread over their interval must not change what is learnt from them: the same reports, arriving together,
+//! evenly spread, in clusters or at drawn moments, have to lead to the same tables.
+
+#[allow(dead_code, reason = "a part of it is used here")]
+#[path = "harness/mod.rs"]
+mod harness;
+
+use std::time::Duration;
+
+use dahliaroad::*;
+use harness::{Harness, MS, Reported, deployment, reported};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const PROXIES: u32 = 100;
+const ENDPOINTS: u32 = 25;
+const REPORTERS: u32 = PROXIES + ENDPOINTS;
+const SECONDS: u32 = 30;
+/// A weight is worth a message once it has moved by a tenth; two tables with the same aim may differ by that each way.
+const SHARE_TOLERANCE: f64 = 0.2;
+/// A controller that hears reports later than another is behind it by a round or two.
+const ROUNDS_BEHIND: u32 = 2;
+
+/// When in its second a reporter reports, in milliseconds. Proxies come first among the reporters, then endpoints.
+type Pattern = fn(Reporter) -> u32;
+
+#[derive(Clone, Copy)]
+struct Reporter {
+    number: u32,
+    second: u32,
+    seed: u64,
+}
+
+fn together(_: Reporter) -> u32 {
+    0
+}
+
+fn spread(reporter: Reporter) -> u32 {
+    reporter.number * 8
+}
+
+/// As a controller takes them in: those of one turn have one time.
+fn spread_in_turns(reporter: Reporter) -> u32 {
+    spread(reporter) / 15 * 15
+}
+
+fn two_clusters(reporter: Reporter) -> u32 {
+    reporter.number % 2 * 500
+}
+
+fn straggler(reporter: Reporter) -> u32 {
+    if reporter.number == REPORTERS - 1 { 300 } else { 0 }
+}
+
+/// Each reporter keeps a moment of its own.
+fn drawn(reporter: Reporter) -> u32 {
+    let mut random = ChaCha8Rng::seed_from_u64(reporter.seed);
+    random.set_stream(reporter.number.into());
+    random.random_range(0..1000)
+}
+
+/// As spread, but the endpoints' reports are late by nine tenths of a second every other time.
+fn spread_and_late_by_turns(reporter: Reporter) -> u32 {
+    let is_late = reporter.number >= PROXIES && reporter.second.is_multiple_of(2);
+    if is_late { 900 + reporter.number - PROXIES } else { spread(reporter) % 800 }
+}
+
+/// Half of the endpoints are overloaded and fail three in five attempts; the others are well.
+fn met(endpoint: u32) -> Reported {
+    if endpoint.is_multiple_of(2) { reported(10.0, 6.0, 1.0) } else { reported(10.0, 0.0, 0.7) }
+}
+
+/// What proxies were ordered in [`SECONDS`].
+struct Outcome {
+    /// By endpoint: its share of the table.
+    shares: Vec<f64>,
+    /// The lowest ratio that is admitted of a class.
+    admitted: f64,
+    /// When the first weight was changed by what reports say.
+    first_change: Option<Duration>,
+}
+
+fn play(pattern: Pattern, seed: u64) -> Outcome {
+    let site = Deployment { proxies: PROXIES as usize, messages_per_window: None, ..deployment() };
+    let mut harness = Harness::started(site, ENDPOINTS, (0..PROXIES).map(|proxy| proxy % 2));
+    harness.advance(10);
+    let start = harness.now;
+    let initial = harness.tables.clone();
+    let mut first_change = None;
+    for second in 0..SECONDS {
+        let offset = |number: &u32| pattern(Reporter { number: *number, second, seed });
+        let mut order: Vec<u32> = (0..REPORTERS).collect();
+        order.sort_by_key(offset);
+        for reporter in order {
+            advance_to(&mut harness, start + 1000 * MS * second + MS * offset(&reporter));
+            report(&mut harness, reporter);
+            if first_change.is_none() && harness.tables != initial {
+                first_change = Some(harness.now - start);
+            }
+        }
+    }
+    advance_to(&mut harness, start + 1000 * MS * SECONDS);
+    let shares = (0..ENDPOINTS).map(|endpoint| harness.share(0, endpoint)).collect();
+    let admitted = harness.assigner.admission_ratios().iter().copied().fold(1.0, f64::min);
+    Outcome { shares, admitted, first_change }
+}
+
+/// Plays timers up to a moment. The controller's own timer comes due each tenth of a second.
+fn advance_to(harness: &mut Harness, at: Duration) {
+    while harness.now + 100 * MS <= at {
+        harness.advance(1);
+    }
+    harness.now = at;
+}
+
+fn report(harness: &mut Harness, reporter: u32) {
+    if reporter < PROXIES {
+        (0..2).for_each(|class| harness.report_demand(reporter, class, 1.25));
+    } else {
+        let endpoint = reporter - PROXIES;
+        harness.report(endpoint, met(endpoint), 1000 * MS);
+    }
+}
+
+fn assert_like_together(name: &str, pattern: Pattern, seed: u64) {
+    let expected = play(together, seed);
+    let found = play(pattern, seed);
+    for (endpoint, (found, expected)) in found.shares.iter().zip(&expected.shares).enumerate() {
+        let difference = (found / expected - 1.0).abs();
+        assert!(
+            difference <= SHARE_TOLERANCE,
+            "{name}, seed {seed}: endpoint {endpoint} has {found}, not {expected}"
+        );
+    }
+    let difference = (found.admitted - expected.admitted).abs();
+    assert!(
+        difference <= 0.1,
+        "{name}, seed {seed}: {} is admitted, not {}",
+        found.admitted,
+        expected.admitted
+    );
+    let latest = expected.first_change.expect("a change") + 1000 * MS * ROUNDS_BEHIND;
+    let first_change = found.first_change.expect("a change");
+    assert!(
+        first_change <= latest,
+        "{name}, seed {seed}: first changed at {first_change:?}, not by {latest:?}"
+    );
+}
+
+/// Reports of a hundred proxies and 25 endpoints come one by one, 8 ms apart, so that there is never a pause between them. No
+/// round ended then, and nothing was learnt, moved, shed or ejected.
+#[test]
+fn reports_without_a_pause_between_them_lead_to_the_same_tables() {
+    assert_like_together("spread", spread, 0);
+    assert_like_together("spread, in turns", spread_in_turns, 0);
+}
+
+#[test]
+fn reports_in_two_clusters_or_with_a_straggler_lead_to_the_same_tables() {
+    assert_like_together("two clusters", two_clusters, 0);
+    assert_like_together("straggler", straggler, 0);
+}
+
+/// Each reporter has a drawn moment of its own, with pauses here and there.
+#[test]
+fn reports_at_drawn_moments_lead_to_the_same_tables() {
+    let seeds = std::env::var("DAHLIAROAD_ARRIVAL_SEEDS").ok().and_then(|count| count.parse().ok());
+    for seed in 0..seeds.unwrap_or(20) {
+        assert_like_together("drawn", drawn, seed);
+    }
+}
+
+/// Two reports of a zone on one endpoint come a tenth of a second apart, as the first is late. The second tells of the next
+/// interval: it must not be added to the first, as if twice as many attempts were made.
+#[test]
+fn a_report_that_soon_follows_a_late_one_replaces_it() {
+    assert_like_together("late by turns", spread_and_late_by_turns, 0);
+}
