Demand: proxies that all leave and return bring back the part they had

Callers saw: after a break of the watch stream a controller that shed load admitted all of it in every third round, for over a minute.

Cause: change_proxies scales each endpoint's success rate by the ratio of demand after and before. As the last proxy leaves the ratio is 0, as the first returns it is infinite, and both are left out; those that follow multiply to the number of proxies.

--- a/src/demand.rs
+++ b/src/demand.rs
@@ -85,13 +85,19 @@
     /// Changes which proxies there are. Proxies that come from another controller brought their requests to the same
     /// endpoints before, and those that go still do. So this controller's own part of what each endpoint serves moves
     /// with them; learning it anew would cost rounds of needless rejections.
+    ///
+    /// Once the last proxy has gone, the part stays that of the demand before, so that proxies which return one by one bring
+    /// back what they had, and no multiple of it.
     pub(crate) fn change_proxies(&mut self, change: impl FnOnce(&mut Assigner)) {
         let before = self.total_demand();
+        if before > 0.0 {
+            self.load.last_demand = before;
+        }
         change(self);
         if self.deployment.controllers <= 1 {
             return;
         }
-        let ratio = self.total_demand() / before;
+        let ratio = self.total_demand() / self.load.last_demand;
         if !ratio.is_normal() {
             return;
         }
--- a/src/state/load.rs
+++ b/src/state/load.rs
@@ -15,6 +15,9 @@
     pub utilization: f64,
     /// The ratio of attempts that failed in the last round alone.
     pub failure_ratio: f64,
+    /// Requests a second of all proxies when one last came or went while there were any: the demand that this controller's
+    /// part of each endpoint belongs to.
+    pub last_demand: f64,
     /// Until when endpoints are taken to be short of connections.
     pub connection_limited_until: Duration,
     /// Until when more attempts are made than reports have told of yet.
--- a/tests/scenarios/demand.rs
+++ b/tests/scenarios/demand.rs
@@ -52,3 +52,42 @@
     harness.play_seconds(4, 15.0, |e| (e < 6).then_some(reported(16.7, 0.0, 0.8)));
     assert!(harness.admissions.values().all(|(rate, _)| *rate == 1.0), "{:?}", harness.admissions);
 }
+
+/// One of two controllers sheds half of its demand when the watch stream breaks. All proxies leave, and return one by one two
+/// seconds later. What endpoints can serve was multiplied with each return, so that admissions opened every few rounds.
+#[test]
+fn proxies_that_all_leave_and_return_one_by_one_change_no_admission() {
+    let mut harness = Harness::started(
+        Deployment { controllers: 2, proxies: 200, ..deployment() },
+        25,
+        (0..100).map(|p| p % 2),
+    );
+    // Endpoints serve 40 requests a second each, of those that are admitted.
+    let play_second = |harness: &mut Harness| {
+        harness.advance(10);
+        let admitted: f64 = harness.assigner.admission_ratios().iter().map(|ratio| ratio * 1000.0).sum();
+        for endpoint in 0..25 {
+            let attempts = admitted * harness.share(0, endpoint);
+            let failures = (attempts - 40.0).max(0.0);
+            let utilization = (attempts / 40.0).min(1.0);
+            harness.report(endpoint, reported(attempts, failures, utilization), 1000 * MS);
+        }
+        (0..100).for_each(|proxy| (0..2).for_each(|class| harness.report_demand(proxy, class, 10.0)));
+    };
+    let admitted = |harness: &Harness| harness.assigner.admission_ratios().iter().sum::<f64>() / 2.0;
+    (0..20).for_each(|_| play_second(&mut harness));
+    let steady = admitted(&harness);
+    assert!((0.2..0.6).contains(&steady), "{steady} admitted");
+    (0..100).for_each(|proxy| harness.leave(proxy));
+    harness.advance(20);
+    for proxy in 0..100 {
+        harness.join(proxy, proxy % 2);
+        harness.now += 2 * MS;
+    }
+    play_second(&mut harness);
+    for second in 1..40 {
+        play_second(&mut harness);
+        let admitted = admitted(&harness);
+        assert!((admitted - steady).abs() < 0.1, "{admitted} admitted after {second} s, {steady} before");
+    }
+}
