Watch stream: a subscription anew that fails keeps the stream that works

Callers saw: one unreadable notification and one failed connect had every proxy bound anew, a message each; joins in between waited.

Cause: the branch of follow_connection that subscribes anew returned that attempt's error, which ends the connection it was to replace. It was awaited in the branch, so that the old connection was not read meanwhile.

The attempt runs beside the reading; where it fails it is logged and made again after a longer backoff.

--- a/crates/controller/src/relay/resubscription.rs
+++ b/crates/controller/src/relay/resubscription.rs
@@ -46,6 +46,11 @@
         self.due = Some(now + self.backoff.next_delay());
     }
 
+    /// An attempt found no connection, or no answer: the next one is due after a longer backoff.
+    pub fn on_attempt_failed(&mut self, now: Instant) {
+        self.due = Some(now + self.backoff.next_delay());
+    }
+
     /// Waits until it is due; for ever where no notification was unreadable.
     pub async fn until_due(&self) {
         match self.due {
--- a/crates/controller/src/relay/watch_stream.rs
+++ b/crates/controller/src/relay/watch_stream.rs
@@ -1,8 +1,9 @@
 //! The relay's watch stream: which proxies are joined, and what they have applied.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -69,6 +70,14 @@
     Ok(connection)
 }
 
+/// The outcome of an attempt, once it has one; never, where there is none.
+async fn outcome_of<T>(attempt: &mut Option<Pin<Box<impl Future<Output = T>>>>) -> T {
+    match attempt {
+        Some(attempt) => attempt.await,
+        None => pending().await,
+    }
+}
+
 impl WatchStream {
     /// One of the relay at this address, not connected yet.
     pub fn new(
@@ -117,7 +126,7 @@
 
     /// Follows one connection until another one takes its place: at the relay's new address, or where all joined proxies
     /// are to be notified anew. Only then is the old one closed; who is joined at the new one makes good what the old one
-    /// may have left unsaid.
+    /// may have left unsaid. Until then the old one is followed, however often an attempt at another one fails.
     async fn follow_connection(
         &mut self,
         mut connection: Connection,
@@ -126,6 +135,7 @@
     ) -> Result<Connection, RelayError> {
         let mut address = self.address.clone();
         let mut moved = pin!(address.moved(connection.address(), subscribe));
+        let mut attempt = None;
         loop {
             tokio::select! {
                 read = connection.read(RESUBSCRIBE_AFTER_SILENCE) => {
@@ -135,9 +145,21 @@
                     counters::PEERS_MOVED.add(1);
                     return Ok(new);
                 }
-                () = resubscription.until_due() => {
+                () = resubscription.until_due(), if attempt.is_none() => {
                     counters::RESUBSCRIPTIONS.add(1);
-                    return subscribe(connection.address()).await;
+                    attempt = Some(Box::pin(subscribe(connection.address())));
+                    continue;
+                }
+                outcome = outcome_of(&mut attempt) => match outcome {
+                    Ok(new) => return Ok(new),
+                    Err(reason) => {
+                        tracing::warn!(
+                            address = %self.followed_address, %reason, "relay: subscription anew failed, tried again"
+                        );
+                        attempt = None;
+                        resubscription.on_attempt_failed(Instant::now());
+                        continue;
+                    }
                 }
             }
             self.health.mark_heard();
--- a/crates/controller/tests/crossings/watch_stream.rs
+++ b/crates/controller/tests/crossings/watch_stream.rs
@@ -62,6 +62,31 @@
     });
 }
 
+/// A notification cannot be read, and the attempts to subscribe anew fail. The stream that works was given up with the first of
+/// them, and every proxy bound anew; it has to be followed until another one is there.
+#[test]
+fn a_subscription_anew_that_fails_costs_nothing_of_the_stream_that_works() {
+    run_scenario(async {
+        let (fleet, relay) = (start_fleet(4).await, ScriptedRelay::listen().await);
+        let (controller, stream) = start_bound_controller(&relay, &fleet, &[0, 1], |_| {}).await;
+        stream.start_keepalives();
+        stream.notify("bye", json!({"node": "?"})).await;
+        for proxy in [2, 3] {
+            relay.break_off_subscription().await;
+            stream.hello(proxy).await;
+            apply_bindings(&relay, &stream, &[proxy]).await;
+        }
+        let stream = relay.accept_subscription().await;
+        stream.start_keepalives();
+        for proxy in 0..3 {
+            stream.hello(proxy).await;
+        }
+        controller.wait_for_counter("proxies left", 1).await;
+        assert_eq!(controller.counter("news lost").await, 0);
+        assert_eq!(controller.counter("subscriptions anew after a spoilt word").await, 3);
+    });
+}
+
 /// The watch stream breaks off each time its initial state is complete. Each break had the proxy bound anew at once: 14 messages
 /// in 5 s, where 12 may go in 10.
 #[test]
--- a/crates/controller/tests/harness/scripted_relay.rs
+++ b/crates/controller/tests/harness/scripted_relay.rs
@@ -150,6 +150,12 @@
         stream
     }
 
+    /// Breaks the connection of the next subscription off without an answer.
+    pub async fn break_off_subscription(&self) {
+        let (_, stream) = self.next_subscription().await;
+        stream.connection.break_off().await;
+    }
+
     /// The next call that orders anything.
     pub async fn next_call(&self) -> CommitCall {
         let next = timeout(WAIT_TIMEOUT, self.calls.lock().await.recv()).await;
