Membership: a direct source's list begun anew is heard though not in full

Callers saw: where discovery began anew at a lower revision with an entry that has no readable name, drained endpoints stayed in the tables for as long as that entry stayed.

Cause: the list becomes changes of a new epoch, which Source::freshness answers with Gap; everything of the new epoch is left out until a complete list can be read in full.

Evidence: the new test drains_are_heard_while_a_list_begun_anew_has_an_ unreadable_entry fails on the text before, no call in 30 s; the counter of gaps rises there.

Changes of a later epoch are accepted of a direct source, whose changes are not searched for gaps in any case; paced sources keep the rule.

--- a/crates/controller/tests/crossings/discovery.rs
+++ b/crates/controller/tests/crossings/discovery.rs
@@ -106,6 +106,41 @@
     });
 }
 
+/// Discovery began anew, below the revision that is known, and its list has an entry of which not even the name can be read. All
+/// that it said from then on was left out, drains included, for as long as the entry stayed.
+#[test]
+fn drains_are_heard_while_a_list_begun_anew_has_an_unreadable_entry() {
+    run_scenario(async {
+        let (fleet, relay, agent) =
+            (start_fleet(6).await, ScriptedRelay::listen().await, ScriptedDiscovery::listen().await);
+        let (controller, stream, request, seq) = start_watching_controller(&relay, &agent, &fleet).await;
+        assert!(seq > 1);
+        let spoilt_list = |seq, ended: &'static str| {
+            list(&fleet, seq, move |host| {
+                leaving(ended)(host);
+                if host["host"] == "e2" {
+                    host["host"] = json!(7);
+                }
+            })
+        };
+        // A drain in the list itself.
+        request.answer(&spoilt_list(seq - 1, "e0")).await;
+        relay.apply(&relay.next_call_with(&stream, &[0], takes_out("e0")).await, &stream, &[0]).await;
+        // And one that is told later, while the complete list is asked for again and again.
+        let mut request = agent.next_request().await;
+        while request.is_for_complete_list() {
+            request.answer(&spoilt_list(seq - 1, "e0")).await;
+            request = agent.next_request().await;
+        }
+        assert!(request.is_watch_after(seq - 1));
+        request.answer(&changes(list(&fleet, seq, leaving("e4")), &["e4"])).await;
+        let call =
+            relay.next_call_with(&stream, &[0], |call| takes_out("e4")(call) || takes_out("e2")(call)).await;
+        assert!(!takes_out("e2")(&call));
+        assert_eq!(controller.counter("gaps in what sources told").await, 0);
+    });
+}
+
 /// The agent answers each watch at once and with nothing. Each answer reset the backoff, so that it was asked without end.
 #[test]
 fn an_agent_that_answers_at_once_with_nothing_is_not_asked_without_backoff() {
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -62,15 +62,15 @@
     }
 
     /// Judges a message by its place in the source's history. The changes of a direct source need not follow each other: its
-    /// versions have gaps.
+    /// versions have gaps. Those of a later epoch are taken in too: they are a complete list that could not be read in full.
     pub fn freshness(&self, message: &SourceMessage) -> Freshness {
         let new = message.position();
         match (message, self.position) {
             (_, Some(known)) if new.epoch < known.epoch => Freshness::Stale,
             (_, Some(known)) if new.epoch == known.epoch && new.revision < known.revision => Freshness::Stale,
             (SourceMessage::Snapshot { .. }, _) => Freshness::Accepted,
-            (_, Some(known)) if new.epoch > known.epoch => Freshness::Gap,
             (SourceMessage::Changes { .. }, _) if self.is_direct() => Freshness::Accepted,
+            (_, Some(known)) if new.epoch > known.epoch => Freshness::Gap,
             (SourceMessage::Changes { .. }, Some(known)) if new.revision == known.revision => {
                 Freshness::Stale
             }
