Publication: urgent easing keeps out of the queue's part for drains

Callers saw: a drain that came behind urgent weights of warming endpoints waited for acknowledgements, though a part of the queue is kept for it.

Cause: publish sent all that is urgent by the withdrawals' part of the queue (0.8); the check before it, urgent_limits, allows 0.4 where nothing ended.

publish goes by urgent_limits too, and the drain leaves at once. The other tests of the decisions pass, the generated warm-ups among them.

--- a/src/publication.rs
+++ b/src/publication.rs
@@ -191,7 +191,8 @@
         let pending = &self.tables[table].pending;
         let is_urgent = pending.urgent > 0;
         let changes = pending.entries.len() + admissions.len();
-        let queue_share = if is_urgent { WITHDRAWAL_QUEUE_SHARE } else { ORDINARY_QUEUE_SHARE };
+        let queue_share =
+            if is_urgent { self.urgent_limits(table).queue_share } else { ORDINARY_QUEUE_SHARE };
         let mut fitting = self.entries_fitting(table, queue_share, is_urgent).min(changes);
         if is_urgent && self.entries_fitting(table, WHOLE_TABLE_QUEUE_SHARE, true) < changes {
             admissions.clear();
--- a/tests/scenarios/publication.rs
+++ b/tests/scenarios/publication.rs
@@ -75,3 +75,36 @@
     harness.advance(25);
     assert!(harness.tables.values().any(|table| table.contains_key(&0)), "the new endpoint is in a table");
 }
+
+/// All endpoints warm up, and none of their weights is confirmed, so that all are urgent. They filled the part of the channel's
+/// queue that is kept for drains, and a drain waited until proxies had acknowledged.
+#[test]
+fn urgent_weights_of_warming_endpoints_leave_drains_their_part_of_the_queue() {
+    const ENDPOINTS: u32 = 26;
+    let site = Deployment {
+        proxies: 10,
+        messages_per_window: None,
+        channel_queue_lines: 400.0,
+        channel_lines_per_second: 600.0,
+        initial_table_size: 30,
+        ..deployment()
+    };
+    let mut harness = Harness::new(site);
+    let started = Some(harness.now);
+    let list: Vec<EndpointUpdate> =
+        (0..ENDPOINTS).map(|endpoint| EndpointUpdate { started, ..listed(endpoint, endpoint % 2) }).collect();
+    harness.update_list(true, &list);
+    (0..10).for_each(|proxy| harness.join(proxy, 0));
+    harness.advance(20);
+    assert_eq!((harness.tables[&0].len() as u32, harness.bindings.len()), (ENDPOINTS, 10));
+    harness.acknowledges = false;
+    let weights = (0..ENDPOINTS).map(|endpoint| (TableId(0), EndpointId(endpoint))).collect();
+    let undelivered = UndeliveredOrders { weights, admissions: Vec::new(), bindings: Vec::new() };
+    harness.assigner.orders_undelivered(&undelivered, None);
+    harness.advance(1);
+    let waiting = harness.assigner.unacknowledged_lines();
+    assert!((100.0..=160.0).contains(&waiting), "{waiting} lines wait");
+    harness.update_list(false, &[EndpointUpdate { state: EndpointState::Draining, ..listed(0, 0) }]);
+    harness.advance(2);
+    assert!(!harness.tables[&0].contains_key(&0), "the drained endpoint is still in the table");
+}
