Outbox: an order that fits into no call keeps no other from leaving

Callers saw: after discovery had listed an endpoint with a name of 60,000 bytes no order left any more, drains included; the relay got calls with nothing but a stamp, one after the other.

Cause: count_that_fits counts from the first order on. Where that one is too long for a call none fits, and all wait again behind it. Discovery's list was the only source without a bound on names.

Names of over 256 bytes make an entry of discovery's list unreadable, as elsewhere; an order that still fits into no call is left out, logged and counted.

--- a/crates/controller/src/collectors/frame.rs
+++ b/crates/controller/src/collectors/frame.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 
-use crate::known_names::KnownNames;
+use crate::known_names::{KnownNames, MAX_ENDPOINT_NAME_BYTES};
 
 /// No valid report counts more requests in a second.
 const MAX_REQUESTS_PER_SECOND: f64 = 1e6;
@@ -17,7 +17,6 @@
 const MAX_RESPONSE_TIME_MS: f64 = 60_000.0;
 /// Far above 1, which is all cores busy: rejects only what is no utilization at all.
 const MAX_UTILIZATION: f64 = 100.0;
-const MAX_ENDPOINT_NAME_BYTES: usize = 256;
 
 /// The answer to a liveness probe, as it is sent: a length of four bytes, little-endian, and the JSON.
 pub const ALIVE_FRAME: &[u8] = b"\x10\0\0\0{\"type\":\"alive\"}";
--- a/crates/controller/src/counters.rs
+++ b/crates/controller/src/counters.rs
@@ -48,6 +48,8 @@
     CALLS_SENT: "calls sent to the relay",
     /// Orders of [`CALLS_SENT`], call stamps included.
     ORDERS_SENT: "orders sent to the relay",
+    /// Orders that fit into no call, and were left out.
+    ORDERS_TOO_LONG: "orders too long for any call",
     /// Calls that were applied in full: by the answer, or by an acknowledgement where there was none.
     CALLS_APPLIED: "calls answered in full",
     /// Calls of which the relay applied the first orders only.
--- a/crates/controller/src/discovery/endpoint_list.rs
+++ b/crates/controller/src/discovery/endpoint_list.rs
@@ -14,6 +14,7 @@
 use serde::de::IgnoredAny;
 use serde_json::value::RawValue;
 
+use crate::known_names::MAX_ENDPOINT_NAME_BYTES;
 use crate::logging::shown;
 
 /// Weights and start times of a valid list are below this, so that sums of them stay finite.
@@ -147,11 +148,12 @@
 }
 
 impl ListEntry<'_> {
-    /// `None` for an unknown zone or state, and for a number out of range.
+    /// `None` for an unknown zone or state, a number out of range, and a name that is too long.
     fn into_update(self, topology: &Topology, revision: u64) -> Option<EntryUpdate> {
         let started_seconds = self.started_ms.unwrap_or(0.0) / 1000.0;
         let is_valid = |number: &f64| (0.0..MAX_NUMBER).contains(number);
-        if ![self.weight, started_seconds].iter().all(is_valid) {
+        let has_valid_numbers = [self.weight, started_seconds].iter().all(is_valid);
+        if !has_valid_numbers || self.name.len() > MAX_ENDPOINT_NAME_BYTES {
             return None;
         }
         let started = (started_seconds > 0.0).then(|| Duration::from_secs_f64(started_seconds));
--- a/crates/controller/src/discovery/endpoint_list/tests.rs
+++ b/crates/controller/src/discovery/endpoint_list/tests.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// A name that is longer than any order may be about: the endpoint is not listed, as with every other source.
+#[test]
+fn an_entry_with_a_name_that_is_too_long_is_unreadable() {
+    let name = "a".repeat(MAX_ENDPOINT_NAME_BYTES + 1);
+    let entry = r#""dial": "10.0.0.1:80", "site": "west", "class": "large", "health": "active", "share": 1"#;
+    let list = format!(r#"{{"seq": 8, "whole": true, "hosts": [{{"host": "{name}", {entry}}}]}}"#);
+    let decoded = decode(&list);
+    assert_eq!(decoded.unreadable_entries, 1);
+    let SourceMessage::Snapshot { entries, .. } = decoded.message else { panic!("no snapshot") };
+    assert!(entries.iter().all(|entry| entry.state == EntryState::Unreadable), "{entries:?}");
+}
+
 /// A complete list in which one name cannot be read: the endpoint of that entry would count as gone.
 #[test]
 fn a_complete_list_with_a_nameless_entry_becomes_changes() {
--- a/crates/controller/src/known_names.rs
+++ b/crates/controller/src/known_names.rs
@@ -2,6 +2,9 @@
 
 use dahliaroad::{ClassId, ZoneId};
 
+/// The longest name of an endpoint that any peer may use. An order has to fit into one call with the name that it is about.
+pub const MAX_ENDPOINT_NAME_BYTES: usize = 256;
+
 /// What a peer's message may name; anything else is of another deployment.
 pub struct KnownNames {
     /// In the order of their ids.
--- a/crates/controller/src/relay/outbox.rs
+++ b/crates/controller/src/relay/outbox.rs
@@ -16,10 +16,15 @@
     Batch, CallStamp, Order, ReturnedOrders, Target, Undelivered, UndeliveredPart, order_targets,
 };
 
+use crate::counters;
+use crate::logging::shown;
+
 pub use shared::SharedOutbox;
 
 /// Bytes of orders that the relay takes in one call.
 const MAX_CALL_BYTES: usize = 60_000;
+/// Bytes of an order that fits into a call, beside the comma behind it and the call's stamp.
+const MAX_ORDER_BYTES: usize = MAX_CALL_BYTES - MAX_CALL_STAMP_BYTES - 1;
 
 /// Orders that wait for the relay. They travel together, and of several for the same target only the last one does: what
 /// waits is bounded, and each proxy gets one message.
@@ -86,7 +91,15 @@
         }
     }
 
+    /// Has an order wait for the next call. One that fits into no call is left out: it would keep all others from leaving.
     fn put(&mut self, target: Target, json: Box<RawValue>, retry_when_rejected: bool) {
+        let bytes = json.get().len();
+        if bytes > MAX_ORDER_BYTES {
+            counters::ORDERS_TOO_LONG.add(1);
+            let input = shown(json.get().as_bytes());
+            tracing::error!(bytes, %input, "relay: order fits into no call, left out");
+            return;
+        }
         self.last_sequence += 1;
         let order = Order {
             target: target.clone(),
--- a/crates/controller/src/relay/outbox/tests.rs
+++ b/crates/controller/src/relay/outbox/tests.rs
@@ -241,3 +241,14 @@
     );
     assert_eq!(bytes[1], br#"{"cluster":0,"for":["a\"b"],"node":3,"verb":"bind"}"#);
 }
+
+/// An endpoint's name is longer than a call. Its order fitted into none, and kept all others from leaving for ever.
+#[test]
+fn an_order_that_fits_into_no_call_keeps_no_other_from_leaving() {
+    let (mut outbox, mut endpoint_ids) = (Outbox::new(Vec::new(), 0), endpoint_ids(2));
+    let long = endpoint_ids.assign(&"x".repeat(MAX_CALL_BYTES), None, None);
+    outbox.add(&weights(&[(0, long.0, 1.0), (0, 0, 1.0), (0, 1, 1.0)], 1), &endpoint_ids);
+    let batch = outbox.take_call(usize::MAX).expect("orders");
+    assert_eq!(texts(&batch).len(), 3, "two weights and a stamp");
+    assert!(outbox.take_call(usize::MAX).is_none());
+}
