Limits: each use of descriptors may hold one at least

Callers saw: with limits.sockets of 1 to 3 an endpoint that hangs stayed in the tables, as no health check was ever sent.

Cause: health checks may hold a quarter of the descriptors, rounded down to none, so the first one waited for its permit for ever. Collectors and strangers had none either; each newcomer took the place of nobody.

ResourceLimits::descriptors_of_each_use says the quarter once, and one at least.

--- a/crates/controller/src/collectors/connection_limit.rs
+++ b/crates/controller/src/collectors/connection_limit.rs
@@ -64,7 +64,7 @@
             strangers: BTreeMap::new(),
             collectors: BTreeMap::new(),
             free_frame_bytes: (limits.memory_bytes / 16).max(MAX_FRAME_BYTES as usize),
-            max_connections: limits.max_descriptors / 4,
+            max_connections: limits.descriptors_of_each_use(),
         })))
     }
 
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -85,6 +85,12 @@
 }
 
 impl ResourceLimits {
+    /// A quarter of the descriptors, which each of their uses may have: strangers, collectors, health checks. One at least:
+    /// with none, health checks would wait for ever.
+    pub fn descriptors_of_each_use(self) -> usize {
+        (self.max_descriptors / 4).max(1)
+    }
+
     fn read(limits: Option<&Value>) -> Result<ResourceLimits, InvalidConfiguration> {
         let limit = |name: &'static str, default: usize| {
             let Some(value) = limits.and_then(|limits| limits.get(name)) else { return Ok(default) };
--- a/crates/controller/tests/endpoints.rs
+++ b/crates/controller/tests/endpoints.rs
@@ -3,9 +3,13 @@
 mod harness;
 
 use std::cell::Cell;
+use std::time::Duration;
 
-use dahliaroad_demo::EndpointState;
+use dahliaroad_demo::{EndpointState, frame};
 use harness::*;
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
 
 /// An endpoint leaves and comes back under its name at another address. It is cold by the list's start time, so its weight has to
 /// stay below that of a warm one, and calls have to go to the new address.
@@ -76,3 +80,31 @@
         .await;
     });
 }
+
+/// The platform allows three descriptors. A quarter of that was none, so that no health check was ever sent, and an endpoint that
+/// hangs stayed in the tables.
+#[test]
+fn with_few_descriptors_health_checks_are_still_sent() {
+    run_scenario(async {
+        let fleet = start_fleet(8).await;
+        let mut configuration = configuration(&fleet, fleet.world.list(None));
+        configuration["limits"]["sockets"] = 3.into();
+        let controller = ControllerProcess::start(configuration).await;
+        wait_until("all bound", || (0..4).all(|proxy| is_bound(&fleet, proxy))).await;
+        fleet.world.set_state("e0", EndpointState::Hung);
+        // One collector forwards all reports: there is room for one.
+        let mut collector = controller.connect_collector().await;
+        while is_in_any_table(&fleet, "e0") {
+            for endpoint in 0..8 {
+                let report = json!({
+                    "type": "outcomes", "locality": "east", "endpoint": format!("e{endpoint}"), "total": 20.0,
+                    "errors": if endpoint == 0 { 20.0 } else { 0.0 }, "rtt": 50.0, "interval": 1000.0,
+                    "metrics": {"util": 0.3},
+                });
+                collector.write_all(&frame(&report)).await.unwrap();
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        assert!(controller.counter("probes sent").await > 0);
+    });
+}
