--- /dev/null
+++ b/crates/controller/tests/soak/history.rs
@@ -0,0 +1,198 @@
+//! Generated histories of all that meets a controller at once. A seed brings the same history each time.
+
+use std::time::Duration;
+
+use dahliaroad_demo::SilentCallOutcome;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Endpoints of the fleet, by turns in two zones.
+pub const ENDPOINTS: u32 = 12;
+/// Endpoints that never end, whatever a history brings.
+const LASTING_ENDPOINTS: u32 = 4;
+/// When a history's last event may begin.
+const LENGTH_MS: u64 = 12_000;
+/// The platform kills a controller so long after SIGTERM at the earliest.
+pub const EARLIEST_KILL: Duration = Duration::from_millis(700);
+
+/// What happens to the relay.
+#[derive(Clone, Copy, Debug)]
+pub enum Outage {
+    /// It says nothing, and this becomes of calls to it.
+    Silence(SilentCallOutcome),
+    /// All connections break, old and new.
+    Refusal,
+    /// All calls are rejected as busy.
+    Busy,
+}
+
+/// What happens to the reader of the log.
+#[derive(Clone, Copy, Debug)]
+pub enum LogReading {
+    Stops,
+    GoesOn,
+    Ends,
+}
+
+/// How a controller ends before it is started anew.
+#[derive(Clone, Copy, Debug)]
+pub enum End {
+    /// SIGKILL at once.
+    Kill,
+    /// SIGTERM, and SIGKILL after [`EARLIEST_KILL`] where it still runs then.
+    Terminate,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// A signal so many times, that many milliseconds apart.
+    Signals {
+        signal: &'static str,
+        count: u32,
+        gap_ms: u64,
+    },
+    /// So many new connections, of which some say nothing and some half of a frame.
+    Crowd(u32),
+    ProxiesLeave,
+    /// They return one by one.
+    ProxiesReturn,
+    /// The relay, until [`Event::RelayReturns`].
+    Relay(Outage),
+    RelayReturns,
+    WatchStreamsBreak,
+    /// Discovery and relay move to other addresses, which a reload tells.
+    PeersMove,
+    DiscoverySilent(bool),
+    Drain(u32),
+    Remove(u32),
+    /// An endpoint is started again, cold.
+    Restart(u32),
+    LogReader(LogReading),
+    /// The controller ends, and is started again so many milliseconds later.
+    ControllerRestarts {
+        end: End,
+        pause_ms: u64,
+    },
+}
+
+/// An event, and when it begins after all proxies are bound.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedEvent {
+    pub at: Duration,
+    pub event: Event,
+}
+
+/// Events in the order of their times.
+#[derive(Debug)]
+pub struct History {
+    pub seed: u64,
+    pub events: Vec<TimedEvent>,
+}
+
+impl History {
+    /// The history of this seed.
+    pub fn generate(seed: u64) -> History {
+        let mut builder = Builder { rng: ChaCha8Rng::seed_from_u64(seed), events: Vec::new() };
+        builder.add_endpoint_events();
+        for _ in 0..builder.rng.random_range(5..9) {
+            builder.add_trouble();
+        }
+        let mut events = builder.events;
+        events.sort_by_key(|event| event.at);
+        History { seed, events }
+    }
+}
+
+struct Builder {
+    rng: ChaCha8Rng,
+    events: Vec<TimedEvent>,
+}
+
+impl Builder {
+    fn add(&mut self, at_ms: u64, event: Event) {
+        self.events.push(TimedEvent { at: Duration::from_millis(at_ms), event });
+    }
+
+    fn add_endpoint_events(&mut self) {
+        for endpoint in 0..ENDPOINTS - LASTING_ENDPOINTS {
+            if self.rng.random_bool(0.4) {
+                continue;
+            }
+            let at = self.rng.random_range(300..LENGTH_MS);
+            let is_drain = self.rng.random_bool(0.7);
+            self.add(at, if is_drain { Event::Drain(endpoint) } else { Event::Remove(endpoint) });
+            if self.rng.random_bool(0.3) {
+                let restart_at = at + self.rng.random_range(3000..6000);
+                self.add(restart_at, Event::Restart(endpoint));
+            }
+        }
+    }
+
+    fn add_trouble(&mut self) {
+        let at = self.rng.random_range(0..LENGTH_MS);
+        let lasts = self.rng.random_range(200..4000);
+        match self.rng.random_range(0..9) {
+            0 => {
+                let signal = *["-HUP", "-USR1"].choose(&mut self.rng).expect("two");
+                let (count, gap_ms) = (self.rng.random_range(2..60), self.rng.random_range(0..30));
+                self.add(at, Event::Signals { signal, count, gap_ms });
+            }
+            1 => {
+                let count = self.rng.random_range(10..150);
+                self.add(at, Event::Crowd(count));
+            }
+            2 => {
+                self.add(at, Event::ProxiesLeave);
+                self.add(at + lasts, Event::ProxiesReturn);
+            }
+            3 => {
+                let outage = self.outage();
+                self.add(at, Event::Relay(outage));
+                self.add(at + lasts, Event::RelayReturns);
+            }
+            4 => self.add(at, Event::WatchStreamsBreak),
+            5 => self.add(at, Event::PeersMove),
+            6 => {
+                self.add(at, Event::DiscoverySilent(true));
+                self.add(at + lasts, Event::DiscoverySilent(false));
+            }
+            7 => self.add_log_reader_events(at, lasts),
+            _ => self.add_controller_restart(at),
+        }
+    }
+
+    fn outage(&mut self) -> Outage {
+        match self.rng.random_range(0..5) {
+            0 => Outage::Silence(SilentCallOutcome::NotApplied),
+            1 => Outage::Silence(SilentCallOutcome::Applied),
+            2 => {
+                let late = Duration::from_millis(self.rng.random_range(0..2000));
+                Outage::Silence(SilentCallOutcome::AppliedLate(late))
+            }
+            3 => Outage::Refusal,
+            _ => Outage::Busy,
+        }
+    }
+
+    /// The log is left unread, or its reader ends, while so much is logged that a pipe is full at once.
+    fn add_log_reader_events(&mut self, at: u64, lasts: u64) {
+        if self.rng.random_bool(0.3) {
+            self.add(at, Event::LogReader(LogReading::Ends));
+        } else {
+            self.add(at, Event::LogReader(LogReading::Stops));
+            self.add(at + lasts, Event::LogReader(LogReading::GoesOn));
+        }
+        self.add(at, Event::Signals { signal: "-USR1", count: 60, gap_ms: 10 });
+    }
+
+    /// Signals come in series around it.
+    fn add_controller_restart(&mut self, at: u64) {
+        let end = *[End::Kill, End::Terminate].choose(&mut self.rng).expect("two");
+        let pause_ms = self.rng.random_range(0..500);
+        self.add(at, Event::Signals { signal: "-HUP", count: 3, gap_ms: 1 });
+        self.add(at, Event::ControllerRestarts { end, pause_ms });
+        self.add(at + 1, Event::Signals { signal: "-USR1", count: 3, gap_ms: 1 });
+    }
+}
--- /dev/null
+++ b/crates/controller/tests/soak/playback.rs
@@ -0,0 +1,268 @@
+//! Plays histories, each against a fleet of its own and one controller after the other.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dahliaroad_demo::{Collector, Fleet};
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::harness::{ControllerProcess, configuration, is_bound, start_fleet, wait_until, zone};
+use crate::history::{EARLIEST_KILL, ENDPOINTS, End, Event, History, LogReading, Outage};
+use crate::judge::{Judge, Verdict};
+
+/// Proxies of the fleet, two in each zone.
+const PROXIES: u32 = 4;
+/// What is left of a history after its last event.
+const AFTERMATH: Duration = Duration::from_secs(8);
+/// How long a crowd's connections are held.
+const CROWD_STAYS: Duration = Duration::from_secs(2);
+
+/// A history, and what it showed.
+pub struct PlayedHistory {
+    pub history: History,
+    pub verdict: Verdict,
+    pub log: Vec<String>,
+}
+
+/// Plays these histories side by side.
+pub async fn play_all(histories: Vec<History>) -> Vec<PlayedHistory> {
+    let mut playing = JoinSet::new();
+    for history in histories {
+        playing.spawn_local(play(history));
+    }
+    let mut played = playing.join_all().await;
+    played.sort_by_key(|one| one.history.seed);
+    played
+}
+
+async fn play(history: History) -> PlayedHistory {
+    let fleet = Rc::new(start_fleet(ENDPOINTS).await);
+    let judge = Rc::new(Judge::new(fleet.clone()));
+    let mut player = Player::start(fleet.clone(), judge.clone()).await;
+    wait_until("all bound", || (0..PROXIES).all(|proxy| is_bound(&fleet, proxy))).await;
+    let looks = spawn_local(judge.clone().run()).abort_handle();
+    let begun = Instant::now();
+    for timed in &history.events {
+        sleep_until(begun + timed.at).await;
+        player.apply(timed.event).await;
+    }
+    player.apply(Event::RelayReturns).await;
+    player.apply(Event::DiscoverySilent(false)).await;
+    player.apply(Event::ProxiesReturn).await;
+    sleep(AFTERMATH).await;
+    looks.abort();
+    let log = player.end().await;
+    judge.count_messages();
+    let verdict = judge.verdict.borrow().clone();
+    PlayedHistory { history, verdict, log }
+}
+
+struct Player {
+    fleet: Rc<Fleet>,
+    judge: Rc<Judge>,
+    controller: ControllerProcess,
+    reports: AbortHandle,
+    /// Log lines of controllers before this one.
+    earlier_log: Vec<String>,
+}
+
+impl Player {
+    async fn start(fleet: Rc<Fleet>, judge: Rc<Judge>) -> Player {
+        let controller = ControllerProcess::start(configuration(&fleet, fleet.world.list(None))).await;
+        controller.assert_alive().await;
+        judge.controller_started(Duration::ZERO);
+        let reports = report_load(&fleet, &controller);
+        Player { fleet, judge, controller, reports, earlier_log: Vec::new() }
+    }
+
+    async fn apply(&mut self, event: Event) {
+        let world = self.fleet.world.clone();
+        match event {
+            Event::Signals { signal, count, gap_ms } => self.send_signals(signal, count, gap_ms),
+            Event::Crowd(count) => self.send_crowd(count),
+            Event::ProxiesLeave => (0..PROXIES).for_each(|proxy| world.leave(proxy)),
+            Event::ProxiesReturn => self.return_proxies(),
+            Event::Relay(outage) => self.begin_outage(outage),
+            Event::RelayReturns => {
+                for outage in [&world.relay_silent, &world.relay_refuses, &world.relay_busy] {
+                    outage.set(false);
+                }
+            }
+            Event::WatchStreamsBreak => {
+                self.judge.watch_streams_broke();
+                world.break_watch_streams();
+            }
+            Event::PeersMove => self.move_peers().await,
+            Event::DiscoverySilent(is_silent) => world.discovery_silent.set(is_silent),
+            Event::Drain(endpoint) => self.end_endpoint(endpoint, "leaving"),
+            Event::Remove(endpoint) => self.end_endpoint(endpoint, "left"),
+            Event::Restart(endpoint) => {
+                self.judge.endpoint_started(&name(endpoint));
+                self.fleet.endpoint(&name(endpoint), zone(endpoint), "large", 20.0).await.unwrap();
+            }
+            Event::LogReader(LogReading::Stops) => self.controller.stop_reading_log(true),
+            Event::LogReader(LogReading::GoesOn) => self.controller.stop_reading_log(false),
+            Event::LogReader(LogReading::Ends) => self.controller.end_log_reader().await,
+            Event::ControllerRestarts { end, pause_ms } => self.restart_controller(end, pause_ms).await,
+        }
+        self.judge_unasked_end();
+    }
+
+    fn send_signals(&self, signal: &'static str, count: u32, gap_ms: u64) {
+        let Some(id) = self.controller.process.id() else { return };
+        spawn_local(async move {
+            for _ in 0..count {
+                // It may have ended meanwhile, as it was asked to.
+                let _ = std::process::Command::new("kill").args([signal, &id.to_string()]).output();
+                sleep(Duration::from_millis(gap_ms)).await;
+            }
+        });
+    }
+
+    fn send_crowd(&self, count: u32) {
+        let address = self.controller.address;
+        for number in 0..count {
+            spawn_local(async move {
+                let Ok(mut stream) = TcpStream::connect(address).await else { return };
+                let bytes: &[u8] =
+                    [&b""[..], b"\x40\0\0\0{\"type\":", b"GET / HTTP/1.1\r\n\r\n"][number as usize % 3];
+                let _ = stream.write_all(bytes).await;
+                sleep(CROWD_STAYS).await;
+            });
+        }
+    }
+
+    fn return_proxies(&self) {
+        let fleet = self.fleet.clone();
+        spawn_local(async move {
+            for proxy in 0..PROXIES {
+                if !fleet.world.proxies.borrow()[&proxy].joined {
+                    fleet.world.join(proxy, zone(proxy), 10.0);
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+
+    fn begin_outage(&self, outage: Outage) {
+        let world = &self.fleet.world;
+        match outage {
+            Outage::Silence(calls) => {
+                world.silent_call_outcome.set(calls);
+                world.relay_silent.set(true);
+            }
+            Outage::Refusal => world.relay_refuses.set(true),
+            Outage::Busy => world.relay_busy.set(true),
+        }
+    }
+
+    async fn move_peers(&self) {
+        let here = "127.0.0.1:0".parse().unwrap();
+        self.fleet.move_to(here, here).await.unwrap();
+        self.judge.watch_streams_broke();
+        let configuration = configuration(&self.fleet, json!(null));
+        std::fs::write(&self.controller.configuration_file, configuration.to_string()).unwrap();
+        self.send_signals("-HUP", 1, 0);
+    }
+
+    fn end_endpoint(&self, endpoint: u32, health: &'static str) {
+        self.fleet.world.set_health(&name(endpoint), health);
+        self.judge.endpoint_ended(&name(endpoint));
+    }
+
+    async fn restart_controller(&mut self, end: End, pause_ms: u64) {
+        self.end_controller(end).await;
+        sleep(Duration::from_millis(pause_ms)).await;
+        // Its tables end with the controller, and so do the proxies' streams: proxies join the next one anew.
+        self.fleet.world.tables.borrow_mut().clear();
+        let joined: Vec<u32> = (0..PROXIES).filter(|proxy| self.is_joined(*proxy)).collect();
+        joined.iter().for_each(|proxy| self.fleet.world.leave(*proxy));
+        let mut configuration = configuration(&self.fleet, self.fleet.world.list(None));
+        configuration["listen"] = json!(self.controller.address);
+        let begun = Instant::now();
+        let controller = ControllerProcess::start(configuration).await;
+        controller.assert_alive().await;
+        self.judge.controller_started(begun.elapsed());
+        joined.iter().for_each(|proxy| self.fleet.world.join(*proxy, zone(*proxy), 10.0));
+        let ended = std::mem::replace(&mut self.controller, controller);
+        self.earlier_log.append(&mut ended.log.borrow_mut());
+        self.reports.abort();
+        self.reports = report_load(&self.fleet, &self.controller);
+    }
+
+    fn is_joined(&self, proxy: u32) -> bool {
+        self.fleet.world.proxies.borrow()[&proxy].joined
+    }
+
+    /// Ends the controller while collectors go on using their connections.
+    async fn end_controller(&mut self, end: End) {
+        self.judge_unasked_end();
+        self.judge.pause(Duration::from_secs(60));
+        let is_running = self.controller.process.id().is_some();
+        if is_running && matches!(end, End::Terminate) {
+            self.controller.signal("-TERM");
+            match timeout(EARLIEST_KILL, self.controller.process.wait()).await {
+                Ok(status) if status.as_ref().is_ok_and(std::process::ExitStatus::success) => {}
+                Ok(status) => self.judge.fault(format!("ended with {status:?}")),
+                Err(_) => self.judge.fault("did not end before the kill".to_owned()),
+            }
+        }
+        let _ = self.controller.process.kill().await;
+        self.judge.resume();
+    }
+
+    /// Reports an end that nobody asked for, once.
+    fn judge_unasked_end(&mut self) {
+        if self.controller.process.id().is_none() {
+            return;
+        }
+        if let Ok(Some(status)) = self.controller.process.try_wait() {
+            self.judge.fault(format!("ended unasked with {status}"));
+        }
+    }
+
+    /// Measures the controller, ends it, and returns its log.
+    async fn end(mut self) -> Vec<String> {
+        self.judge_unasked_end();
+        for proxy in 0..PROXIES {
+            if !is_bound(&self.fleet, proxy) {
+                self.judge.fault(format!("proxy {proxy} is not bound at the end"));
+            }
+        }
+        if let Some(id) = self.controller.process.id() {
+            let mut verdict = self.judge.verdict.borrow_mut();
+            verdict.memory_kb = resident_kb(id);
+            verdict.descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
+        }
+        self.reports.abort();
+        self.end_controller(End::Terminate).await;
+        self.earlier_log.append(&mut self.controller.log.borrow_mut());
+        self.earlier_log
+    }
+}
+
+fn name(endpoint: u32) -> String {
+    format!("e{endpoint}")
+}
+
+/// Sends load reports each second for as long as the controller runs.
+fn report_load(fleet: &Rc<Fleet>, controller: &ControllerProcess) -> AbortHandle {
+    let mut collector = Collector::new(fleet.world.clone(), controller.address);
+    let reports = spawn_local(async move {
+        loop {
+            let _ = collector.second().await;
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+    reports.abort_handle()
+}
+
+fn resident_kb(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
