Soak: a controller that stands still is found, by its answers

250 signals in place of 60, at least four seconds of a reader that stops, and a question every 0.2 s whether the controller is alive, answered within two seconds.

--- a/crates/controller/tests/soak/history.rs
+++ b/crates/controller/tests/soak/history.rs
@@ -13,6 +13,8 @@
 const LASTING_ENDPOINTS: u32 = 4;
 /// When a history's last event may begin.
 const LENGTH_MS: u64 = 12_000;
+/// The pipe to a log reader that stops is full by then.
+const FULL_PIPE_MS: u64 = 4_000;
 /// The platform kills a controller so long after SIGTERM at the earliest.
 pub const EARLIEST_KILL: Duration = Duration::from_millis(700);
 
@@ -176,15 +178,15 @@
         }
     }
 
-    /// The log is left unread, or its reader ends, while so much is logged that a pipe is full at once.
+    /// The log is left unread, or its reader ends, while so much is logged that a pipe is full within some seconds.
     fn add_log_reader_events(&mut self, at: u64, lasts: u64) {
         if self.rng.random_bool(0.3) {
             self.add(at, Event::LogReader(LogReading::Ends));
         } else {
             self.add(at, Event::LogReader(LogReading::Stops));
-            self.add(at + lasts, Event::LogReader(LogReading::GoesOn));
+            self.add(at + FULL_PIPE_MS + lasts, Event::LogReader(LogReading::GoesOn));
         }
-        self.add(at, Event::Signals { signal: "-USR1", count: 60, gap_ms: 10 });
+        self.add(at, Event::Signals { signal: "-USR1", count: 250, gap_ms: 10 });
     }
 
     /// Signals come in series around it.
--- a/crates/controller/tests/soak/judge.rs
+++ b/crates/controller/tests/soak/judge.rs
@@ -2,12 +2,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::{fmt, io};
 
-use dahliaroad_demo::Fleet;
-use tokio::time::{Instant, sleep};
+use dahliaroad_demo::{Fleet, frame};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::harness::DRAIN_GRACE;
 
@@ -24,6 +28,10 @@
 const MAX_MESSAGES: usize = 12;
 const MESSAGES_SPAN: Duration = Duration::from_secs(10);
 const READY_WITHIN: Duration = Duration::from_secs(10);
+/// A controller that does not answer for so long stands still: nothing that it does takes a second.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Between two questions whether it is alive.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
 /// Far more than a controller of this fleet needs; growth without end passes it.
 const MAX_MEMORY_KB: u64 = 64 * 1024;
 const MAX_DESCRIPTORS: usize = 64;
@@ -37,6 +45,7 @@
     pub longest_without_endpoint: Duration,
     pub most_messages: usize,
     pub slowest_start: Duration,
+    pub slowest_answer: Duration,
     pub memory_kb: u64,
     pub descriptors: usize,
     /// Ends that nobody asked for, ends with another code, and what was not as it has to be at the end.
@@ -49,6 +58,7 @@
             && self.longest_without_endpoint <= DRAIN_GRACE + SLACK
             && self.most_messages <= MAX_MESSAGES
             && self.slowest_start <= READY_WITHIN
+            && self.slowest_answer <= ANSWER_WITHIN
             && self.memory_kb <= MAX_MEMORY_KB
             && self.descriptors <= MAX_DESCRIPTORS
             && self.faults.is_empty()
@@ -58,15 +68,22 @@
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Verdict { longest_drain, late_endpoints, longest_without_endpoint, most_messages, .. } = self;
-        let Verdict { slowest_start, memory_kb, descriptors, faults, .. } = self;
+        let Verdict { slowest_start, slowest_answer, memory_kb, descriptors, faults, .. } = self;
         write!(
             f,
             "drain {longest_drain:.2?}, late {late_endpoints:?}, without endpoint {longest_without_endpoint:.2?}, {most_messages} messages, \
-             started in {slowest_start:.2?}, {memory_kb} kB, {descriptors} descriptors, faults {faults:?}"
+             started in {slowest_start:.2?}, answered in {slowest_answer:.2?}, {memory_kb} kB, {descriptors} descriptors, faults {faults:?}"
         )
     }
 }
 
+/// Asks a controller whether it is alive, and waits for the answer.
+async fn answer(address: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(&frame(&json!({"type": "probe"}))).await?;
+    stream.read_u32().await.map(|_| ())
+}
+
 /// Watches the tables, and counts only the time in which the controller could act.
 pub struct Judge {
     fleet: Rc<Fleet>,
@@ -139,6 +156,23 @@
         }
     }
 
+    /// Asks the controller at this address again and again whether it is alive, for ever. Only questions that were asked while the
+    /// limits ran count: a controller that is started anew does not answer before.
+    pub async fn ask(self: Rc<Self>, address: SocketAddr) {
+        loop {
+            sleep(QUESTION_INTERVAL).await;
+            if Instant::now() < self.judged_from.get() {
+                continue;
+            }
+            let asked_at = Instant::now();
+            let _ = timeout(ANSWER_WITHIN * 2, answer(address)).await;
+            if Instant::now() >= self.judged_from.get() {
+                let mut verdict = self.verdict.borrow_mut();
+                verdict.slowest_answer = verdict.slowest_answer.max(asked_at.elapsed());
+            }
+        }
+    }
+
     fn look(&self, gap: Duration) {
         let world = &self.fleet.world;
         let outages = [&world.relay_silent, &world.relay_refuses, &world.relay_busy, &world.discovery_silent];
--- a/crates/controller/tests/soak/main.rs
+++ b/crates/controller/tests/soak/main.rs
@@ -26,7 +26,7 @@
 }
 
 /// No drain outlasts its grace, no joined proxy is without an endpoint, no proxy gets more messages than it may, a restarted
-/// controller is ready within ten seconds, none ends unasked or with another code than 0, and memory and descriptors are few at
+/// controller is ready within ten seconds, none stands still or ends unasked or with another code than 0, and memory and descriptors are few at
 /// the end.
 #[test]
 fn the_rules_hold_while_troubles_cross() {
--- a/crates/controller/tests/soak/playback.rs
+++ b/crates/controller/tests/soak/playback.rs
@@ -45,6 +45,7 @@
     let mut player = Player::start(fleet.clone(), judge.clone()).await;
     wait_until("all bound", || (0..PROXIES).all(|proxy| is_bound(&fleet, proxy))).await;
     let looks = spawn_local(judge.clone().run()).abort_handle();
+    let questions = spawn_local(judge.clone().ask(player.controller.address)).abort_handle();
     let begun = Instant::now();
     for timed in &history.events {
         sleep_until(begun + timed.at).await;
@@ -54,7 +55,7 @@
     player.apply(Event::DiscoverySilent(false)).await;
     player.apply(Event::ProxiesReturn).await;
     sleep(AFTERMATH).await;
-    looks.abort();
+    [looks, questions].iter().for_each(AbortHandle::abort);
     let log = player.end().await;
     judge.count_messages();
     let verdict = judge.verdict.borrow().clone();
