Publication and test harness: what stood twice stands once

Both rules that publish a table chose the longest waiting one by the same three lines: publish_longest_waiting. The loop that sends load reports each second stood in three places of the controller's tests: report_load of the harness. No behaviour changes; the decisions' tests pass.

--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -11,11 +11,12 @@
 mod traffic;
 
 use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use dahliaroad_demo::{Collector, Fleet};
 use serde_json::{Value, json};
-use tokio::task::LocalSet;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 pub use controller_process::{ControllerProcess, assert_answers, controller_command};
@@ -107,3 +108,15 @@
 pub fn has_endpoints(fleet: &Fleet, proxy: u32) -> bool {
     fleet.world.proxies.borrow()[&proxy].held.values().all(|weights| !weights.is_empty())
 }
+
+/// Sends the fleet's load reports to this controller each second, until it is aborted.
+pub fn report_load(fleet: &Rc<Fleet>, controller: &ControllerProcess) -> AbortHandle {
+    let mut collector = Collector::new(fleet.world.clone(), controller.address);
+    let reports = spawn_local(async move {
+        loop {
+            let _ = collector.second().await;
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+    reports.abort_handle()
+}
--- a/crates/controller/tests/harness/traffic.rs
+++ b/crates/controller/tests/harness/traffic.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dahliaroad_demo::{Collector, Fleet};
+use dahliaroad_demo::Fleet;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use super::ControllerProcess;
+use super::{ControllerProcess, report_load};
 
 /// How long after a drain or removal could be read proxies may go on sending, by the settings of `demo`.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(3000);
@@ -35,13 +35,7 @@
     pub fn start(fleet: &Rc<Fleet>, controller: &ControllerProcess) -> Rc<TrafficMonitor> {
         let traffic = Rc::new(TrafficMonitor::default());
         spawn_local(traffic.clone().watch(fleet.clone()));
-        let mut collector = Collector::new(fleet.world.clone(), controller.address);
-        spawn_local(async move {
-            loop {
-                let _ = collector.second().await;
-                sleep(Duration::from_secs(1)).await;
-            }
-        });
+        report_load(fleet, controller);
         traffic
     }
 
--- a/crates/controller/tests/relay_outages/playback.rs
+++ b/crates/controller/tests/relay_outages/playback.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dahliaroad_demo::{Collector, Fleet};
+use dahliaroad_demo::Fleet;
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::findings::{Findings, MESSAGES_SPAN};
-use crate::harness::{ControllerProcess, configuration, is_bound, start_fleet, wait_until};
+use crate::harness::{ControllerProcess, configuration, is_bound, report_load, start_fleet, wait_until};
 use crate::history::{ENDPOINTS, History};
 use crate::table_monitor::TableMonitor;
 
@@ -62,17 +62,6 @@
     }
 }
 
-fn report_load(fleet: &Rc<Fleet>, controller: &ControllerProcess) -> AbortHandle {
-    let mut collector = Collector::new(fleet.world.clone(), controller.address);
-    let reports = spawn_local(async move {
-        loop {
-            let _ = collector.second().await;
-            sleep(Duration::from_secs(1)).await;
-        }
-    });
-    reports.abort_handle()
-}
-
 /// The most messages that any proxy got within the span.
 fn most_messages(fleet: &Fleet) -> usize {
     let delivered = fleet.world.delivered.borrow();
--- a/crates/controller/tests/soak/playback.rs
+++ b/crates/controller/tests/soak/playback.rs
@@ -3,14 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dahliaroad_demo::{Collector, Fleet};
+use dahliaroad_demo::Fleet;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::harness::{ControllerProcess, configuration, is_bound, start_fleet, wait_until, zone};
+use crate::harness::{
+    ControllerProcess, configuration, is_bound, report_load, start_fleet, wait_until, zone,
+};
 use crate::history::{EARLIEST_KILL, ENDPOINTS, End, Event, History, LogReading, Outage};
 use crate::judge::{Judge, Verdict};
 
@@ -250,18 +252,6 @@
     format!("e{endpoint}")
 }
 
-/// Sends load reports each second for as long as the controller runs.
-fn report_load(fleet: &Rc<Fleet>, controller: &ControllerProcess) -> AbortHandle {
-    let mut collector = Collector::new(fleet.world.clone(), controller.address);
-    let reports = spawn_local(async move {
-        loop {
-            let _ = collector.second().await;
-            sleep(Duration::from_secs(1)).await;
-        }
-    });
-    reports.abort_handle()
-}
-
 fn resident_kb(id: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
--- a/src/publication.rs
+++ b/src/publication.rs
@@ -63,9 +63,7 @@
             let urgent = self.tables[table].pending.urgent;
             urgent > 0 && self.block_reason(table, urgent, self.urgent_limits(table)).is_none()
         };
-        let tables = (0..self.tables.len()).filter(may_leave);
-        let table = tables.min_by_key(|&table| self.tables[table].published_at)?;
-        Some(Action::Publish { table })
+        self.publish_longest_waiting(may_leave)
     }
 
     /// A table with changes worth a message; the one that was published longest ago first.
@@ -77,6 +75,11 @@
             let is_used = !self.shards.members[self.shards.shard_of_table(table)].is_empty();
             is_used && self.may_publish_changes(table)
         };
+        self.publish_longest_waiting(may_leave)
+    }
+
+    /// Of the tables that may leave, the one that was published longest ago.
+    fn publish_longest_waiting(&self, may_leave: impl Fn(&usize) -> bool) -> Option<Action> {
         let tables = (0..self.tables.len()).filter(may_leave);
         let table = tables.min_by_key(|&table| self.tables[table].published_at)?;
         Some(Action::Publish { table })
