Known red: a late call whose acknowledgement is lost undoes a withdrawal

Traced by its log: a call was given up in the silence, its orders ordered again and then withdrawn by the first call behind it; the relay carried the given-up call out 154 ms after its return, before the watch stream was subscribed again, so that the acknowledgement which would have shown it was lost.

--- a/crates/controller/tests/crossings/relay_calls.rs
+++ b/crates/controller/tests/crossings/relay_calls.rs
@@ -209,3 +209,30 @@
         assert_eq!(controller.counter("calls without a readable answer").await, 0);
     });
 }
+
+/// A call is given up, what it ordered is ordered again, and then withdrawn. The relay carries the first call out while the watch
+/// stream is away, so that its acknowledgement is lost and an ended endpoint is back in a table. What it may have undone has to
+/// be ordered once more behind the gap.
+#[test]
+fn what_a_late_call_undid_while_the_watch_stream_was_away_is_ordered_again() {
+    run_scenario(async {
+        let (fleet, relay) = (start_fleet(4).await, ScriptedRelay::listen().await);
+        let (_controller, stream) = start_bound_controller(&relay, &fleet, &[0], |_| {}).await;
+        let takes_in = |call: &CommitCall| call.has(json!({"verb": "share", "endpoint": "e4"}));
+        let takes_out = |call: &CommitCall| call.has(json!({"verb": "share", "endpoint": "e4", "w": 0.0}));
+        fleet.endpoint("e4", "east", "large", 20.0).await.unwrap();
+        // Left without an answer: the controller gives it up, finds the relay there, and orders the same again.
+        let given_up = relay.next_call_with(&stream, &[0], takes_in).await;
+        let again = relay.next_call_with(&stream, &[0], takes_in).await;
+        relay.apply(&again, &stream, &[0]).await;
+        fleet.world.set_health("e4", "leaving");
+        let withdrawal = relay.next_call_with(&stream, &[0], takes_out).await;
+        relay.apply(&withdrawal, &stream, &[0]).await;
+        stream.connection.break_off().await;
+        drop(given_up);
+        let stream = relay.accept_subscription().await;
+        stream.start_keepalives();
+        stream.hello(0).await;
+        relay.next_call_with(&stream, &[0], takes_out).await;
+    });
+}
