Review: end the controller however a script ends, and use each site's usual sizes

The change: a script that was told to end, or whose controller never answered, left the controller running; it is ended now in every case, and the wait for its start is 20 s, so that the longest case stays under 120 s.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,7 +28,7 @@
     "deductions": {"cross_zone": 0.12, "probe": 0.02},
     "rules": {"start_capacity": 0.15, "warm_up_ms": 17000.0, "fall_multiple": 3.0, "stop_sending_within_ms": 3000.0,
               "tip_after_ms": 1500.0, "must_ask_in_ms": 10000.0},
-    "domain": {"admit": "rps", "key_ranges": 0, "proxy_count": 12, "homed_by_zone": True, "base_mode": 1,
+    "domain": {"admit": "rps", "key_ranges": 0, "proxy_count": 16, "homed_by_zone": True, "base_mode": 1,
                "class_own_zone": [False, True], "writers": [False, True], "blackhole_ms": 6800.0,
                "choice": "lottery",
                "report_every_ms": 1000.0, "lines_per_s": 11400.0, "backlog": 11400.0, "per_message": 6.0,
@@ -42,8 +42,8 @@
     world.trouble = trouble
     for index in range(24):
         world.add_endpoint("s-%02d" % index, ZONES[index % len(ZONES)], SETTINGS["models"][index % 2], 12.0)
-    for node in range(12):
-        rate = LOAD * 24 * 12.0 / 12
+    for node in range(16):
+        rate = LOAD * 24 * 12.0 / 16
         world.add_proxy(node, ZONES[node % len(ZONES)], {"tax-check": rate * 0.58, "post-entry": rate * 0.42})
     rules.watch_drains(world)
     return world
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -21,6 +21,7 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "dahliaroad")
 HOST = "127.0.0.1"
 TICK = 0.02
+START_LIMIT = 20       # seconds; a run with the longest case and the slowest start stays under 120 s
 
 
 def free_ports(count):
@@ -596,13 +597,14 @@
         self.pilot = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", deploy_command(), cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.record("controller started: " + deploy_command())
-        for _ in range(600):
+        limit = time.monotonic() + START_LIMIT
+        while time.monotonic() < limit and self.pilot.returncode is None:
             if await self.is_alive():
                 self.answered_at = self.now()
                 self.record("controller answers its first probe")
                 return
             await asyncio.sleep(0.05)
-        raise RuntimeError("the controller did not answer within 30 s")
+        raise RuntimeError("the controller did not answer within %d s of its start" % START_LIMIT)
 
     async def is_alive(self):
         try:
@@ -616,38 +618,48 @@
             return False
 
     async def run(self, folder, scenario, seconds):
-        await self.start_servers()
-        await self.start_controller(folder)
-        zones = self.settings["zones"]
+        """Plays the case. Whatever happens, and also if this process is told to end, the controller is ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
+        try:
+            await self.start_servers()
+            await self.start_controller(folder)
+            await self.play(scenario, seconds)
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await self.end_controller()
+            for server in self.servers:
+                server.close()
+
+    async def play(self, scenario, seconds):
         self.try_limit = {one["name"]: one["deadline_ms"] / 1000 for one in self.settings["classes"]}
         loop = asyncio.get_running_loop()
         for node in self.proxies:
             self.join(node)
         jobs = [self.traffic(), self.ping(), self.summaries(), scenario(self)]
-        jobs += [self.collect(zone, 0.7) for zone in zones]
+        jobs += [self.collect(zone, 0.7) for zone in self.settings["zones"]]
         self.tasks = [loop.create_task(job) for job in jobs]
         end = time.monotonic() + seconds
-        try:
-            while time.monotonic() < end:
-                await asyncio.sleep(0.1)
-                if self.pilot.returncode is not None:
-                    self.violation("crash", "the controller ended with %s" % self.pilot.returncode)
-                    break
-                for task in self.tasks:
-                    if task.done() and not task.cancelled() and task.exception():
-                        raise task.exception()
-        finally:
+        while time.monotonic() < end:
+            await asyncio.sleep(0.1)
+            if self.pilot.returncode is not None:
+                self.violation("crash", "the controller ended with %s" % self.pilot.returncode)
+                break
             for task in self.tasks:
-                task.cancel()
-            if self.pilot.returncode is None:
-                self.pilot.send_signal(signal.SIGTERM)
-                try:
-                    await asyncio.wait_for(self.pilot.wait(), 3.0)
-                except asyncio.TimeoutError:
-                    self.pilot.kill()
-                    await self.pilot.wait()
-            for server in self.servers:
-                server.close()
+                if task.done() and not task.cancelled() and task.exception():
+                    raise task.exception()
+
+    async def end_controller(self):
+        if self.pilot is None or self.pilot.returncode is not None:
+            return
+        self.pilot.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.pilot.wait(), 2.0)
+        except asyncio.TimeoutError:
+            self.pilot.kill()
+            await self.pilot.wait()
 
 
 def frame_of(message):
@@ -684,7 +696,7 @@
         world.record("all rules that this case checks held")
         print("held")
         return 0
-    except Exception as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         print("could not run: %r" % error)
         return 2
     finally:
