--- a/crates/membership/src/counts.rs
+++ b/crates/membership/src/counts.rs
@@ -5,6 +5,9 @@
 pub struct Counts {
     /// Ignored messages and entries that were older than the known state.
     pub stale: usize,
+    /// Those of the stale entries that were ignored for their start alone: they seemed to describe an earlier incarnation
+    /// than the known one.
+    pub superseded: usize,
     /// Ignored messages that did not follow the known position of their source.
     pub gaps: usize,
     /// Changes of a source to a new epoch.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -213,12 +213,15 @@
         if return_policy != ReturnPolicy::Always {
             let incarnation = entry.incarnation;
             let superseded = self.is_superseded(now, origin.source, name, incarnation);
-            if self.is_older_than_known(origin, revision, name)
-                || superseded && return_policy == ReturnPolicy::UnlessDrained
-            {
+            if self.is_older_than_known(origin, revision, name) {
                 self.counts.stale += 1;
                 return;
             }
+            if superseded && return_policy == ReturnPolicy::UnlessDrained {
+                self.counts.stale += 1;
+                self.counts.superseded += 1;
+                return;
+            }
             match self.listing(origin.source, name) {
                 Some(known) if known.entry.incarnation == incarnation => {
                     if known.entry.serving_state == ServingState::Draining {
--- a/crates/runtime/src/counters.rs
+++ b/crates/runtime/src/counters.rs
@@ -93,6 +93,8 @@
     OUTDATED_HEALTH_CHECKS: "probes that their endpoint's life did not outlast",
     /// Messages of sources, and single entries of messages, that were ignored as older than the known state.
     STALE_UPDATES: "stale words of sources left out",
+    /// Those of the stale entries that were ignored for their start alone, as of an earlier process than the known one.
+    SUPERSEDED_ENTRIES: "entries left out for an earlier start",
     /// Messages of sources that were ignored as they did not follow the known revision; a snapshot is needed after each.
     SOURCE_GAPS: "gaps in what sources told",
     /// Listings that are not passed on, as a tombstone shows that their incarnation has ended. A repeated listing counts
@@ -119,6 +121,7 @@
 /// Updates the counters of the sources' messages.
 pub(crate) fn update_source_counters(counts: &Counts) {
     STALE_UPDATES.set(counts.stale);
+    SUPERSEDED_ENTRIES.set(counts.superseded);
     SOURCE_GAPS.set(counts.gaps);
     BLOCKED_LISTINGS.set(counts.blocked);
     UNREADABLE_ENTRIES.set(counts.unreadable);
