Keep a drain whose entry omits the start that was listed before

Seen wherever an endpoint had restarted under the controller and its start had since become "0 for long ago".

Cause: starts were compared as Options, None below any time, so an entry without a start was "of an earlier incarnation" than the known one, and discovery's entries of an earlier incarnation are ignored whole. By the same comparison a registry's entry that lost started_ms ended its running endpoint, a start counted as later than none however old it was (an older list with it brought back what had drained without it), and a source whose names always return lost the start of a cold process.

Why this works: an omitted start says only that the process started no later than some time. Within one history the revision tells which entry is newer, so the entry is of the known process; between histories it is of an earlier one only while the known process is younger than the warm-up, as its start can't be long ago then. The entry keeps the start that was given, so nothing behind membership sees a restart and a cold process stays cold. A start after none counts across histories only if it lies after the list that first omitted it.

Tests, on the text before: discovery::a_drain_counts_once_the_list_omits_a_start_that_it_gave_before timed out at 30 s; of the nine of scenarios::omitted_starts eight failed (the ninth is the guard against older lists).

--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -92,8 +92,12 @@
 ) -> Result<(), ServeError> {
     let mut membership = Membership::new(sources::tombstone_limits(&operator_config.membership));
     let follows_discovery = !operator_config.without_discovery;
-    let discovery_source =
-        follows_discovery.then(|| membership.add_source(SourceSettings::direct("discovery")));
+    let discovery_settings = SourceSettings {
+        // Discovery omits a start that is long ago: while a process is cold, its start is not.
+        start_omitted_after: configuration.settings.deployment.warm_up,
+        ..SourceSettings::direct("discovery")
+    };
+    let discovery_source = follows_discovery.then(|| membership.add_source(discovery_settings));
     let Sources { followers, members } = Sources::add(operator_config, &mut membership)?;
     let listener = tokio::select! {
         biased;
--- a/crates/controller/tests/discovery.rs
+++ b/crates/controller/tests/discovery.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::time::SystemTime;
+
 use harness::*;
 
 /// Discovery accepts a watch and never answers, and an endpoint drains during that time. The watch must time
@@ -58,3 +60,25 @@
         assert!(is_in_any_table(&fleet, "e1"));
     });
 }
+
+/// An endpoint restarts and is listed with its start, which the list later omits as long ago. Its drain was then taken
+/// for that of an earlier process and ignored, so that proxies kept sending to it until it was gone.
+#[test]
+fn a_drain_counts_once_the_list_omits_a_start_that_it_gave_before() {
+    run_scenario(async {
+        let (fleet, controller) = start_fleet_and_controller(6).await;
+        let list_start = |started_ms| {
+            fleet.world.endpoints.borrow_mut().get_mut("e0").unwrap().started_ms = started_ms;
+        };
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap();
+        list_start(now.as_millis() as u64);
+        fleet.world.first_requested_version.set(None);
+        fleet.world.set_health("e0", "active");
+        let version = fleet.world.list_version.get();
+        wait_until("start read", || fleet.world.first_requested_version.get() == Some(Some(version))).await;
+        list_start(0);
+        fleet.world.set_health("e0", "leaving");
+        wait_until("drained", || !is_in_any_table(&fleet, "e0")).await;
+        assert_eq!(controller.counter("entries left out for an earlier start").await, 0);
+    });
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -59,6 +59,8 @@
 mod serving_state;
 mod settings;
 mod source;
+mod start_time;
+mod succession;
 mod tombstones;
 
 pub use changes::{Change, Changes};
--- a/crates/membership/src/listings.rs
+++ b/crates/membership/src/listings.rs
@@ -2,10 +2,12 @@
 //! inline.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::message::{Entry, Epoch, Revision};
 use crate::serving_state::ServingState;
 use crate::source::SourceId;
+use crate::start_time::StartTime;
 use crate::tombstones::ListedIncarnation;
 
 /// The last state of a name that one source listed.
@@ -18,14 +20,24 @@
     pub epoch: Epoch,
     /// The revision of the source at which the state was set.
     pub revision: Revision,
+    /// The latest time at which the process can have started, if the entry has no start time.
+    pub started_by: Duration,
     /// The entry, shared with the published state of the name.
     pub entry: Arc<Entry>,
 }
 
 impl Listing {
+    pub fn start_time(&self) -> StartTime {
+        self.entry.incarnation.started.map_or(StartTime::Omitted(self.started_by), StartTime::Given)
+    }
+
     pub fn listed_incarnation(&self) -> ListedIncarnation {
-        let incarnation = self.entry.incarnation;
-        ListedIncarnation { source: self.source, epoch: self.epoch, incarnation }
+        ListedIncarnation {
+            source: self.source,
+            epoch: self.epoch,
+            created: self.entry.incarnation.created,
+            start_time: self.start_time(),
+        }
     }
 }
 
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -7,14 +7,14 @@
 use crate::changes::{Change, Changes};
 use crate::counts::Counts;
 use crate::listings::Listing;
-use crate::message::{Entry, EntryState, EntryUpdate, Epoch, Incarnation, Revision, SourceMessage};
+use crate::message::{Entry, EntryState, EntryUpdate, Epoch, Revision, SourceMessage};
 use crate::pacing::Pacing;
 use crate::publish_queue::PublishQueue;
 use crate::record::Record;
-use crate::serving_state::ServingState;
 use crate::settings::{ReturnPolicy, SourceSettings, TombstoneLimits};
 use crate::source::{Freshness, Source, SourceId, SourceState};
-use crate::tombstones::{ListedIncarnation, Tombstone, Tombstones};
+use crate::succession::Succession;
+use crate::tombstones::{Tombstone, Tombstones};
 
 /// The result of applying a message.
 #[derive(Debug, PartialEq)]
@@ -197,57 +197,49 @@
         self.discard_tombstones(now);
     }
 
-    /// Stores an entry. Under [`ReturnPolicy::Always`] every entry is stored as it is. Otherwise an entry that is older than
-    /// the known one is ignored, a draining endpoint stays draining within its incarnation, and the entry is blocked if its
-    /// incarnation has ended.
+    /// Stores an entry. Under [`ReturnPolicy::Always`] every entry is stored; an omitted start time stays as it was known.
+    /// Otherwise an entry that is older than the known one is ignored, a draining endpoint stays draining within its
+    /// incarnation, and the entry is blocked if its incarnation has ended.
     fn apply_listed(
         &mut self,
         now: Duration,
         origin: Origin,
         revision: Revision,
         name: &Arc<str>,
-        mut entry: Entry,
+        entry: Entry,
     ) {
-        let return_policy = self.source(origin.source).settings.return_policy;
-        let mut blocked = false;
-        if return_policy != ReturnPolicy::Always {
-            let incarnation = entry.incarnation;
-            let superseded = self.is_superseded(now, origin.source, name, incarnation);
-            if self.is_older_than_known(origin, revision, name) {
-                self.counts.stale += 1;
-                return;
+        let Origin { source, epoch, .. } = origin;
+        let settings = &self.source(source).settings;
+        let return_policy = settings.return_policy;
+        let started_by = now.saturating_sub(settings.start_omitted_after);
+        let mut listing =
+            Listing { source, blocked: false, epoch, revision, started_by, entry: Arc::new(entry) };
+        if return_policy == ReturnPolicy::Always {
+            if let Some(known) = self.listing(source, name) {
+                listing.inherit_start(known);
             }
-            if superseded && return_policy == ReturnPolicy::UnlessDrained {
+            self.insert_listing(name, listing);
+            return;
+        }
+        if self.is_older_than_known(origin, revision, name) {
+            self.counts.stale += 1;
+            return;
+        }
+        let known = self.listing(source, name);
+        match known.map(|known| (known, known.succession(now, &listing))) {
+            Some((_, Succession::Earlier)) if return_policy == ReturnPolicy::UnlessDrained => {
                 self.counts.stale += 1;
                 self.counts.superseded += 1;
                 return;
             }
-            match self.listing(origin.source, name) {
-                Some(known) if known.entry.incarnation == incarnation => {
-                    if known.entry.serving_state == ServingState::Draining {
-                        entry.serving_state = ServingState::Draining;
-                    }
-                    blocked = known.blocked;
-                }
-                // The name is still listed, but for another incarnation.
-                Some(_) => self.remove_listing(now, origin.source, name),
-                None => {}
-            }
-            let listed = ListedIncarnation { source: origin.source, epoch: origin.epoch, incarnation };
-            blocked |= self.tombstones.blocks(name, &listed);
-            self.counts.blocked += usize::from(blocked);
+            Some((known, Succession::Same)) => listing.inherit(known),
+            // The name is still listed, but for another incarnation.
+            Some(_) => self.remove_listing(now, source, name),
+            None => {}
         }
-        let Origin { source, epoch, .. } = origin;
-        self.insert_listing(name, Listing { source, blocked, epoch, revision, entry: Arc::new(entry) });
-    }
-
-    /// Whether the source already lists a later incarnation of the name than `new`. An outdated list may contain an earlier
-    /// incarnation; accepting it would make a process that has just started look warm. All start times come from the same
-    /// clock, so the later start belongs to the later incarnation, unless that start is still in the future.
-    fn is_superseded(&self, now: Duration, source: SourceId, name: &str, new: Incarnation) -> bool {
-        let Some(listing) = self.listing(source, name) else { return false };
-        let known = listing.entry.incarnation;
-        new.started < known.started && known.started <= Some(now)
+        listing.blocked |= self.tombstones.blocks(name, &listing.listed_incarnation());
+        self.counts.blocked += usize::from(listing.blocked);
+        self.insert_listing(name, listing);
     }
 
     /// Whether the entry is older than the source's known one. Messages of one epoch may overlap if the source changed
@@ -271,7 +263,7 @@
         let Some(listing) = record.listings.remove(source) else { return };
         let source = &mut self.sources[source.0 as usize];
         source.listed -= 1;
-        let drained = listing.entry.serving_state == ServingState::Draining;
+        let drained = listing.is_draining();
         let ends = match source.settings.return_policy {
             ReturnPolicy::Always => false,
             ReturnPolicy::UnlessDrained => drained,
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -51,6 +51,10 @@
     /// How fast changes are published. The pacing of the first paced source applies to all paced sources. `None` for a
     /// direct source: each of its messages is published at once, and gaps in its history are not detected.
     pub pacing: Option<Pacing>,
+    /// How long after its start a process may be listed without its start time at the earliest; zero if the source may omit
+    /// any start time. It decides whether an entry without a start time may describe a process whose start time is known,
+    /// where the revisions do not tell which of the two is older.
+    pub start_omitted_after: Duration,
 }
 
 impl SourceSettings {
@@ -60,12 +64,19 @@
             name: name.to_owned(),
             return_policy: ReturnPolicy::NewIncarnationOnly,
             pacing: Some(Pacing::default()),
+            start_omitted_after: Duration::ZERO,
         }
     }
 
-    /// Creates the settings of a direct source whose names return unless they were drained.
+    /// Creates the settings of a direct source whose names return unless they were drained, and which never omits a start
+    /// time that it has given.
     pub fn direct(name: &str) -> SourceSettings {
-        SourceSettings { name: name.to_owned(), return_policy: ReturnPolicy::UnlessDrained, pacing: None }
+        SourceSettings {
+            name: name.to_owned(),
+            return_policy: ReturnPolicy::UnlessDrained,
+            pacing: None,
+            start_omitted_after: Duration::MAX,
+        }
     }
 }
 
--- a/crates/membership/src/tombstones.rs
+++ b/crates/membership/src/tombstones.rs
@@ -4,16 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::message::{Epoch, Incarnation};
+use crate::message::{Epoch, Revision};
 use crate::settings::TombstoneLimits;
 use crate::source::SourceId;
+use crate::start_time::{StartOrder, StartTime};
 
-/// An incarnation as one source lists or listed it. The revision in the incarnation belongs to the given epoch.
+/// An incarnation as one source lists or listed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ListedIncarnation {
     pub source: SourceId,
     pub epoch: Epoch,
-    pub incarnation: Incarnation,
+    /// The revision of the epoch at which the name was created.
+    pub created: Revision,
+    pub start_time: StartTime,
 }
 
 /// Records an incarnation that has ended.
@@ -26,31 +29,39 @@
 
 impl Tombstone {
     /// Whether a listed entry may belong to this incarnation or an earlier one. A later start time proves a new
-    /// incarnation. A new registration proves one too, unless the ended incarnation was drained and both start times are
-    /// known and equal. Revisions of different epochs cannot be ordered, but a restored backup contains exactly the
-    /// revisions from before: in another epoch, any other `created` revision counts as a new registration, unless the start
-    /// time is earlier.
+    /// incarnation, and so does a start time that the source has not given before, in the same history. A new registration
+    /// proves one too, unless the ended incarnation was drained and may be the listed one: both start times are given and
+    /// equal, or only one is given and nothing else shows which of them is older.
     pub fn blocks(&self, listed: &ListedIncarnation) -> bool {
-        let incarnation = listed.incarnation;
-        let ended = self.ended.incarnation;
-        // An incarnation without a start time counts as older than any with one.
-        if incarnation.started > ended.started {
-            return false;
-        }
-        let started_before = incarnation.started < ended.started;
-        let same_source = listed.source == self.ended.source;
-        let same_epoch = listed.epoch == self.ended.epoch;
-        let registered_again = if !same_source {
+        let ended = &self.ended;
+        let same_history = listed.source == ended.source && listed.epoch == ended.epoch;
+        let gives_start = listed.start_time.is_given();
+        let only_one_start = gives_start != ended.start_time.is_given();
+        let may_be_drained = match listed.start_time.compare(ended.start_time) {
+            StartOrder::Later => return false,
+            StartOrder::Unknown if only_one_start && same_history && gives_start => return false,
+            StartOrder::Unknown => only_one_start && !same_history,
+            StartOrder::Same => true,
+            StartOrder::Earlier => false,
+        };
+        self.drained && may_be_drained || !self.is_registered_again(listed)
+    }
+
+    /// Whether the entry is a registration of its own, made after that of the ended incarnation. Revisions of different
+    /// epochs cannot be ordered, but a restored backup contains exactly the revisions from before: in another epoch, any
+    /// other `created` revision counts as a new registration, unless the start time is earlier.
+    fn is_registered_again(&self, listed: &ListedIncarnation) -> bool {
+        let ended = &self.ended;
+        let started_before = listed.start_time.compare(ended.start_time) == StartOrder::Earlier;
+        if listed.source != ended.source {
             // Unless the incarnation was drained, it ended only because the tombstone's source stopped listing it. The entry
             // of another source then counts as a registration of its own, unless its start time is earlier.
             !self.drained && !started_before
-        } else if same_epoch {
-            incarnation.created > ended.created
+        } else if listed.epoch == ended.epoch {
+            listed.created > ended.created
         } else {
-            incarnation.created != ended.created && !started_before
-        };
-        let same_start = incarnation.started.is_some() && !started_before;
-        same_start && self.drained || !registered_again
+            listed.created != ended.created && !started_before
+        }
     }
 }
 
--- a/crates/membership/tests/scenarios/main.rs
+++ b/crates/membership/tests/scenarios/main.rs
@@ -2,6 +2,7 @@
 
 mod freshness;
 mod incarnations;
+mod omitted_starts;
 mod pacing;
 mod sources;
 
