Membership: compare an entry's revision with the known one within an epoch only

What callers saw: nothing was reported; found by reading. Discovery begins anew at a lower revision and one entry of its first list can't be read: the drain of that endpoint, told by the next change, is ignored, and requests go to it.

Cause: is_older_than_known asked whether the source's previous message had the same epoch as this one. The known entry may be of an earlier epoch all the same, as it stays where the new epoch's entry is unreadable or of an earlier process; its revision belongs to the old history, and everything below it passed for old.

Evidence: freshness::an_entry_kept_from_an_old_history_hides_no_drain_of_the_new_one on the text before: left Running, right Draining.

Why this works: the listing has its epoch; revisions are compared where it is the entry's. Of an agent that lags after a move, a removal of the process before the known one is no longer dropped for its lower number: the endpoint is out until the agent has caught up, as with a complete list.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -44,8 +44,6 @@
 struct Origin {
     source: SourceId,
     epoch: Epoch,
-    /// Whether the source's previous message had the same epoch, so that revisions can be compared.
-    same_epoch: bool,
 }
 
 impl Membership {
@@ -102,9 +100,9 @@
         }
         let position = message.position();
         let previous = self.source_mut(source).position.replace(position);
-        let same_epoch = previous.is_some_and(|previous| previous.epoch == position.epoch);
-        let origin = Origin { source, epoch: position.epoch, same_epoch };
-        self.counts.new_epochs += usize::from(previous.is_some() && !same_epoch);
+        let begins_epoch = previous.is_some_and(|previous| previous.epoch != position.epoch);
+        self.counts.new_epochs += usize::from(begins_epoch);
+        let origin = Origin { source, epoch: position.epoch };
         let changes = match message {
             SourceMessage::Progress { .. } => None,
             SourceMessage::Snapshot { entries, .. } => self.apply_snapshot(now, origin, entries),
@@ -243,10 +241,11 @@
     }
 
     /// Whether the entry is older than the source's known one. Messages of one epoch may overlap if the source changed
-    /// while a snapshot was read.
+    /// while a snapshot was read. A known entry of an earlier epoch, which stays if the new epoch's entry cannot be read, has a
+    /// revision that cannot be compared.
     fn is_older_than_known(&self, origin: Origin, revision: Revision, name: &str) -> bool {
         let listing = self.listing(origin.source, name);
-        origin.same_epoch && listing.is_some_and(|known| revision < known.revision)
+        listing.is_some_and(|known| known.epoch == origin.epoch && revision < known.revision)
     }
 
     fn insert_listing(&mut self, name: &Arc<str>, listing: Listing) {
--- a/crates/membership/tests/scenarios/freshness.rs
+++ b/crates/membership/tests/scenarios/freshness.rs
@@ -4,7 +4,7 @@
 
 use dahliaroad_membership::*;
 
-use crate::{Harness, NOW, changes, running_update, snapshot, update};
+use crate::{Harness, NOW, changes, entry, running_update, snapshot, update};
 
 /// Endpoints are missing from a snapshot, and finally all of them are. If they stayed in the list, proxies would send
 /// requests to servers that are gone. An empty list counts as a list.
@@ -93,3 +93,18 @@
     assert_eq!(harness.running_names(), ["a"]);
     assert_eq!(harness.membership.counts.unreadable, 3);
 }
+
+/// Discovery begins its history anew at a lower revision, and an entry of its first list cannot be read. The revision of the known
+/// entry belongs to the old history: compared with it, every later change of the endpoint was older, its drain included.
+#[test]
+fn an_entry_kept_from_an_old_history_hides_no_drain_of_the_new_one() {
+    let mut membership = Membership::new(TombstoneLimits::default());
+    let source = membership.add_source(SourceSettings::direct("discovery"));
+    membership.apply(NOW, source, snapshot(1, 100, vec![running_update("a", 0, 100)]));
+    membership.apply(NOW, source, snapshot(2, 3, vec![update("a", 3, EntryState::Unreadable)]));
+    let drained = update("a", 4, EntryState::Listed(entry(0, 100, ServingState::Draining)));
+    membership.apply(NOW, source, changes(2, 3, 4, vec![drained]));
+    assert_eq!(membership.entries().next().unwrap().1.serving_state, ServingState::Draining);
+    membership.apply(NOW, source, changes(2, 4, 5, vec![update("a", 5, EntryState::Removed)]));
+    assert_eq!(membership.entries().count(), 0);
+}
--- a/crates/membership/tests/scenarios/omitted_starts.rs
+++ b/crates/membership/tests/scenarios/omitted_starts.rs
@@ -112,7 +112,7 @@
         assert_eq!(discovery.list(2, 4, OMITTED, state), Some(ServingState::Running));
         assert_eq!(discovery.change(2, 5, OMITTED, state), Some(ServingState::Running));
         assert_eq!(discovery.start(), Some(Duration::from_millis(RECENT_MS)));
-        assert_eq!(discovery.membership.counts.stale, 2);
+        assert_eq!(discovery.membership.counts.superseded, 2);
     }
 }
 
