Assigner: an omitted start neither restarts an open endpoint nor makes it warm

A running endpoint whose start the list omits as long ago is taken for restarted, and its share falls to that of a slow start; its real start is forgotten, so a cold one that an older list names without a start counts as warm as soon as that slow start ends.

Cause: apply_list_entry compared the starts as Options, where a start that was given and is omitted now is another start, and kept the omission.

Why this works: an entry without a start proves nothing of an endpoint that is open, and a known start that is kept matters only while it is recent, when the omission can't be true. An endpoint that was drained or gone and returns without a start begins a slow start as before. Both tests pass; the ten of slow_start do.

--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -47,7 +47,7 @@
         let locality = if self.shards.localities > 1 { entry.zone.index() } else { 0 };
         let is_open = entry.state == EndpointState::Running;
         let is_new = !self.endpoints[endpoint].listing.was_ever_listed();
-        let has_restarted = entry.started_at != self.endpoints[endpoint].listing.started_at;
+        let has_restarted = self.has_restarted(endpoint, entry.started_at);
         if is_open && !none_was_open && (is_new || has_restarted) {
             self.begin_slow_start(endpoint, now);
         }
@@ -59,12 +59,21 @@
         listing.absent_since = None;
         listing.machine_kind = entry.machine_kind as usize;
         listing.weight = entry.weight.max(f64::MIN_POSITIVE);
-        listing.started_at = entry.started_at;
+        // While the known start is recent, an entry without it comes from an older list.
+        listing.started_at = entry.started_at.or(listing.started_at);
         listing.is_open = is_open;
         listing.is_unlisted = false;
         listing.is_released = false;
     }
 
+    /// Whether an entry with this start belongs to another process than the known one. The list omits a start
+    /// that is long ago, so an entry without a start proves no restart of an endpoint that is open.
+    fn has_restarted(&self, endpoint: usize, started_at: Option<Duration>) -> bool {
+        let listing = &self.endpoints[endpoint].listing;
+        let is_start_omitted = started_at.is_none() && listing.is_open;
+        started_at != listing.started_at && !is_start_omitted
+    }
+
     fn lowest_free_rank(&self, locality: usize) -> usize {
         let listings = self.endpoints.iter().map(|endpoint| &endpoint.listing);
         let same_locality =
--- a/tests/scenarios/slow_start.rs
+++ b/tests/scenarios/slow_start.rs
@@ -147,3 +147,38 @@
         assert!(load(endpoint) < 0.4, "endpoint {endpoint} gets {} of an even share", load(endpoint));
     }
 }
+
+/// The list omits the start of a running endpoint that it gave before, as it is long ago. The endpoint was taken for
+/// restarted, and its share fell to that of a cold one.
+#[test]
+fn an_endpoint_whose_start_the_list_omits_keeps_its_share() {
+    let mut harness = Harness::with_two_proxies(deployment(), 6);
+    let start = Some(harness.now);
+    harness.update_list(false, &[EndpointUpdate { started_at: start, ..endpoint_update(0, 0) }]);
+    harness.run_seconds(30, 15.0, HEALTHY);
+    let before = harness.share(0, 0);
+    harness.update_list(false, &[endpoint_update(0, 0)]);
+    harness.run_seconds(2, 15.0, HEALTHY);
+    assert!(harness.share(0, 0) > 0.9 * before, "{before} {}", harness.share(0, 0));
+}
+
+/// An entry without a start is listed for an endpoint that has just restarted, as an older list has it. If the endpoint
+/// looked warm for that, it would get a full share and collapse.
+#[test]
+fn a_cold_endpoint_whose_start_the_list_omits_stays_cold() {
+    let shares = |omits_start: bool| {
+        let mut harness = Harness::with_two_proxies(deployment(), 6);
+        harness.run_seconds(12, 15.0, HEALTHY);
+        let restart = EndpointUpdate { started_at: Some(harness.now), ..endpoint_update(0, 0) };
+        harness.update_list(false, std::slice::from_ref(&restart));
+        harness.run_seconds(1, 15.0, HEALTHY);
+        let started_at = restart.started_at.filter(|_| !omits_start);
+        harness.update_list(false, &[EndpointUpdate { started_at, ..restart }]);
+        let share_after = |_| {
+            harness.run_seconds(1, 15.0, HEALTHY);
+            harness.share(0, 0)
+        };
+        (0..5).map(share_after).collect::<Vec<f64>>()
+    };
+    assert_eq!(shares(true), shares(false));
+}
