Endpoint ids: an omitted start keeps the generation, the end of a process changes it

What callers saw: an endpoint that fails stays in the tables for one health check longer, where the list omits its start while the check is in progress: the outcome is left out as that of an earlier process.

Cause: EndpointIds::assign took an omitted start for another one.

Evidence: endpoint_ids::an_omitted_start_keeps_the_generation_of_an_id_until_its_process_ends on the text before (without its call of process_ended, which is new): generation 2 in place of 1 after the omission.

Why this works: the known start stays until a source gives another one, the name is removed or the id is released. As an omission no longer shows that a name without starts passed to another process, the removal of the name now does.

--- a/crates/runtime/src/endpoint_ids.rs
+++ b/crates/runtime/src/endpoint_ids.rs
@@ -34,8 +34,8 @@
         self.by_name.get(name).copied()
     }
 
-    /// Returns the id of a name; assigns one if it has none. If `address` is `None`, the known address stays. A different
-    /// address or start time means another process, and so another generation.
+    /// Returns the id of a name; assigns one if it has none. If `address` or `started` is `None`, the known one stays: sources
+    /// omit a start that is long ago. A different address or start time means another process, and so another generation.
     pub fn assign(
         &mut self,
         name: &str,
@@ -45,6 +45,7 @@
         let endpoint = self.find(name).unwrap_or_else(|| self.assign_new(name));
         let record = &mut self.records[endpoint.0 as usize];
         let address = address.or(record.address);
+        let started = started.or(record.started);
         if record.address != address || record.started != started {
             record.generation += 1;
         }
@@ -69,11 +70,20 @@
         EndpointId(self.records.len() as u32 - 1)
     }
 
+    /// Notes that the endpoint's process is no longer listed: whatever is listed under the name next may be another one.
+    /// Panics if the id was never assigned.
+    pub fn process_ended(&mut self, endpoint: EndpointId) {
+        let record = &mut self.records[endpoint.0 as usize];
+        record.started = None;
+        record.generation += 1;
+    }
+
     /// Releases the id of an endpoint; it may then be assigned to another name. Panics if the id was never assigned.
     pub fn release(&mut self, endpoint: EndpointId) {
         counters::RELEASED_ENDPOINT_IDS.add(1);
         let record = &mut self.records[endpoint.0 as usize];
         record.address = None;
+        record.started = None;
         record.generation += 1;
         self.by_name.remove(&record.name);
         self.released.insert(endpoint.0);
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -168,8 +168,11 @@
         }
     }
 
-    fn unlisted_update(&self, name: &str, state: EndpointState) -> Option<EndpointUpdate> {
+    fn unlisted_update(&mut self, name: &str, state: EndpointState) -> Option<EndpointUpdate> {
         let endpoint = self.endpoint_ids.find(name)?;
+        if state == EndpointState::Removed {
+            self.endpoint_ids.process_ended(endpoint);
+        }
         Some(EndpointUpdate {
             endpoint,
             zone: ZoneId(0),
--- a/crates/runtime/tests/endpoint_ids.rs
+++ b/crates/runtime/tests/endpoint_ids.rs
@@ -29,3 +29,29 @@
     generations.dedup();
     assert_eq!(generations.len(), 4);
 }
+
+/// The list omits the start of a running process that it gave before, as it is long ago. If the generation changed, the
+/// outcome of the health check in progress would be lost.
+#[test]
+fn an_omitted_start_keeps_the_generation_of_an_id_until_its_process_ends() {
+    let mut endpoint_ids = EndpointIds::default();
+    let address = Some("127.0.0.1:1".parse().unwrap());
+    let start = Some(Duration::from_secs(1));
+    let endpoint = endpoint_ids.assign("a", address, start);
+    let generation = endpoint_ids.generation(endpoint);
+    for started in [None, start] {
+        assert_eq!(endpoint_ids.assign("a", address, started), endpoint);
+        assert_eq!(endpoint_ids.generation(endpoint), generation);
+    }
+    // The process ends. The next one is another, though its start is not given either.
+    endpoint_ids.process_ended(endpoint);
+    endpoint_ids.assign("a", address, None);
+    assert_ne!(endpoint_ids.generation(endpoint), generation);
+    // The name that gets the id next inherits no start.
+    endpoint_ids.assign("a", address, start);
+    endpoint_ids.release(endpoint);
+    assert_eq!(endpoint_ids.assign("b", address, None), endpoint);
+    let generation = endpoint_ids.generation(endpoint);
+    endpoint_ids.assign("b", address, start);
+    assert_ne!(endpoint_ids.generation(endpoint), generation);
+}
