zone command: an omitted start is no change

What users saw: `dahliaroad zone OLD NEW` reports "another address, zone or kind" for an endpoint whose new entry only omits its start, though a controller changes nothing for it.

Cause: the entries were compared with their starts as they are.

Evidence, on the text before: commands::a_comparison_of_zones_shows_no_change_for_an_omitted_start: "e1: another address, zone or kind", 4 of 4 endpoints change, in place of 3 of 4. Now the start that the old file has stands in for the omitted one, as in membership; the five tests of commands pass.

--- a/crates/controller/src/commands/compare_zones.rs
+++ b/crates/controller/src/commands/compare_zones.rs
@@ -91,9 +91,11 @@
     names.into_iter().filter_map(describe).collect()
 }
 
-/// Describes the change of an endpoint that both files list. Returns `None` if nothing changes.
+/// Describes the change of an endpoint that both files list. Returns `None` if nothing changes. A start that the new file
+/// omits stays as it was.
 fn describe_change(old: &ZoneEndpoint, new: &ZoneEndpoint) -> Option<String> {
-    if old == new {
+    let new = ZoneEndpoint { started: new.started.or(old.started), ..new.clone() };
+    if *old == new {
         return None;
     }
     let changes_state = old.serving_state != new.serving_state;
