zone command: show that an endpoint with an earlier start than before goes

What users saw: `dahliaroad zone OLD NEW` reports "another address, zone or kind" where the new file gives an earlier start, though a controller takes the endpoint out: the process with that start has ended.

Cause: only a later start was looked at.

Evidence: commands::a_comparison_of_zones_shows_what_an_omitted_a_new_and_an_earlier_start_change on the text before: "e5: another address, zone or kind". What the controller does is held by incarnations::an_entry_with_an_earlier_start_than_the_known_one_lists_no_running_endpoint, which passed before too.

--- a/crates/controller/src/commands/compare_zones.rs
+++ b/crates/controller/src/commands/compare_zones.rs
@@ -101,6 +101,8 @@
     let changes_state = old.serving_state != new.serving_state;
     Some(if old.started < new.started {
         "restarted".to_owned()
+    } else if new.started < old.started {
+        "goes, as its start is earlier than before".to_owned()
     } else if changes_state && old.serving_state == ServingState::Draining {
         "stays draining, as its start did not change".to_owned()
     } else if changes_state {
--- a/crates/controller/tests/commands.rs
+++ b/crates/controller/tests/commands.rs
@@ -46,16 +46,18 @@
 }
 
 /// The new file omits the start of three endpoints. The controller takes that for no change, so the comparison shows
-/// none, and a drain holds. A start that is given for the first time is a restart.
+/// none, and a drain holds. A start that is given for the first time is a restart; an earlier start is that of a process
+/// that has ended.
 #[test]
-fn a_comparison_of_zones_shows_no_change_for_an_omitted_start() {
+fn a_comparison_of_zones_shows_what_an_omitted_a_new_and_an_earlier_start_change() {
     let output = compare_zones("starts-old.zone", "starts-new.zone");
     assert_eq!(
         text(&output.stdout),
         "e2: weight 30 instead of 20\n\
          e3: stays draining, as its start did not change\n\
          e4: restarted\n\
-         serial 7 to 8: 3 of 4 endpoints change\n"
+         e5: goes, as its start is earlier than before\n\
+         serial 7 to 8: 4 of 5 endpoints change\n"
     );
 }
 
