Membership: a process relisted without its start is not the one that drained before it

What callers saw: an endpoint that runs gets nothing, for good. Its name had drained and started anew; later discovery drops the name from its list for a moment and lists it again, by then without its start.

Cause: with the listing membership forgets the start. Against the tombstone of the process before, which had none either, the entry passed for the drained process.

Evidence: omitted_starts::a_later_process_relisted_without_its_start_is_not_taken_for_the_one_that_drained on the text before: left None, right Some(Running).

Why this works: a tombstone remembers the latest start that another process of the name has had since. An entry without a start is of that one if it is newer in the same history, or if that start is long ago. In another history, while that process has just started, the entry may be an older list's word of the drained one, which stays out (the second half of the test). A registration that has ended stays so in a restored backup: a_restored_backup_does_not_restore_the_registration_before_the_one_with_a_start passed before too.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -236,6 +236,9 @@
             None => {}
         }
         listing.blocked |= self.tombstones.blocks(name, &listing.listed_incarnation());
+        if let (false, Some(started)) = (listing.blocked, listing.entry.incarnation.started) {
+            self.tombstones.record_successor(name, started);
+        }
         self.counts.blocked += usize::from(listing.blocked);
         self.insert_listing(name, listing);
     }
@@ -271,7 +274,7 @@
         if listing.blocked || !ends {
             return;
         }
-        let tombstone = Tombstone { ended: listing.listed_incarnation(), drained };
+        let tombstone = Tombstone::new(listing.listed_incarnation(), drained);
         for other in record.listings.iter_mut() {
             let policy = self.sources[other.source.0 as usize].settings.return_policy;
             let strict = policy == ReturnPolicy::NewIncarnationOnly;
--- a/crates/membership/src/tombstones.rs
+++ b/crates/membership/src/tombstones.rs
@@ -9,6 +9,9 @@
 use crate::source::SourceId;
 use crate::start_time::{StartOrder, StartTime};
 
+/// The `created` revision of all entries of a source that does not tell when a name was created.
+const UNKNOWN_CREATION: Revision = Revision(0);
+
 /// An incarnation as one source lists or listed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ListedIncarnation {
@@ -19,22 +22,38 @@
     pub start_time: StartTime,
 }
 
+impl ListedIncarnation {
+    /// Whether both are listed in one history, in which revisions can be compared and the later entry is the newer one.
+    fn shares_history_with(&self, other: &ListedIncarnation) -> bool {
+        self.source == other.source && self.epoch == other.epoch
+    }
+}
+
 /// Records an incarnation that has ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Tombstone {
     pub ended: ListedIncarnation,
     /// Whether the incarnation was draining before its removal. Otherwise it may merely be missing from the list.
     pub drained: bool,
+    /// The latest start time of a later process that has had the name since.
+    successor_started: Option<Duration>,
 }
 
 impl Tombstone {
+    pub fn new(ended: ListedIncarnation, drained: bool) -> Tombstone {
+        Tombstone { ended, drained, successor_started: None }
+    }
+
     /// Whether a listed entry may belong to this incarnation or an earlier one. A later start time proves a new
     /// incarnation, and so does a start time that the source has not given before, in the same history. A new registration
     /// proves one too, unless the ended incarnation was drained and may be the listed one: both start times are given and
     /// equal, or only one is given and nothing else shows which of them is older.
     pub fn blocks(&self, listed: &ListedIncarnation) -> bool {
         let ended = &self.ended;
-        let same_history = listed.source == ended.source && listed.epoch == ended.epoch;
+        let same_history = listed.shares_history_with(ended);
+        if self.is_succeeded_by(listed) {
+            return false;
+        }
         let gives_start = listed.start_time.is_given();
         let only_one_start = gives_start != ended.start_time.is_given();
         let may_be_drained = match listed.start_time.compare(ended.start_time) {
@@ -47,6 +66,19 @@
         self.drained && may_be_drained || !self.is_registered_again(listed)
     }
 
+    /// Whether the entry omits the start time of the later process that has had the name since, or of one after it. It does
+    /// not if it is the registration of the ended incarnation itself.
+    fn is_succeeded_by(&self, listed: &ListedIncarnation) -> bool {
+        let ended = &self.ended;
+        let same_history = listed.shares_history_with(ended);
+        let is_same_registration = listed.created == ended.created && listed.created != UNKNOWN_CREATION;
+        let (Some(successor), StartTime::Omitted(latest)) = (self.successor_started, listed.start_time)
+        else {
+            return false;
+        };
+        !is_same_registration && (same_history || successor <= latest)
+    }
+
     /// Whether the entry is a registration of its own, made after that of the ended incarnation. Revisions of different
     /// epochs cannot be ordered, but a restored backup contains exactly the revisions from before: in another epoch, any
     /// other `created` revision counts as a new registration, unless the start time is earlier.
@@ -57,7 +89,7 @@
             // Unless the incarnation was drained, it ended only because the tombstone's source stopped listing it. The entry
             // of another source then counts as a registration of its own, unless its start time is earlier.
             !self.drained && !started_before
-        } else if listed.epoch == ended.epoch {
+        } else if listed.shares_history_with(ended) {
             listed.created > ended.created
         } else {
             listed.created != ended.created && !started_before
@@ -86,6 +118,13 @@
         self.by_age.push_back((now, name.clone()));
     }
 
+    /// Records that a process with this start time, which no tombstone of the name blocks, has the name.
+    pub fn record_successor(&mut self, name: &str, started: Duration) {
+        for tombstone in self.by_name.get_mut(name).into_iter().flatten() {
+            tombstone.successor_started = tombstone.successor_started.max(Some(started));
+        }
+    }
+
     /// Whether any tombstone of the name blocks the entry.
     pub fn blocks(&self, name: &str, listed: &ListedIncarnation) -> bool {
         let tombstones = self.by_name.get(name);
--- a/crates/membership/tests/scenarios/omitted_starts.rs
+++ b/crates/membership/tests/scenarios/omitted_starts.rs
@@ -141,6 +141,28 @@
     }
 }
 
+/// An endpoint drains, and a later process has its name. Discovery drops that process from its list and lists it again, by
+/// then without its start. The drain was of the process before, but the running one was taken for it and stayed out for good.
+#[test]
+fn a_later_process_relisted_without_its_start_is_not_taken_for_the_one_that_drained() {
+    for (epoch, revision) in [(1, 10), (2, 1)] {
+        let mut discovery = Discovery::new();
+        discovery.list(1, 5, OMITTED, ServingState::Running);
+        discovery.change(1, 6, OMITTED, ServingState::Draining);
+        discovery.remove(1, 7);
+        discovery.change(1, 8, LONG_AGO_MS, ServingState::Running);
+        discovery.remove(1, 9);
+        let relisted = discovery.list(epoch, revision, OMITTED, ServingState::Running);
+        assert_eq!(relisted, Some(ServingState::Running));
+    }
+    // If the later process has just started, an entry without a start in another history is of the one that drained.
+    let mut discovery = Discovery::new();
+    discovery.list(1, 5, OMITTED, ServingState::Draining);
+    discovery.change(1, 8, RECENT_MS, ServingState::Running);
+    discovery.remove(1, 9);
+    assert_eq!(discovery.list(2, 4, OMITTED, ServingState::Running), None);
+}
+
 /// The entry of a registry loses its start time while the endpoint runs, by a change or in a reread. The endpoint was
 /// taken for gone, and callers no longer reached it.
 #[test]
@@ -214,6 +236,20 @@
     }
 }
 
+/// An endpoint ends, registers again with its start, and ends again. A restored backup lists its first registration, which
+/// had no start: nothing runs there.
+#[test]
+fn a_restored_backup_does_not_restore_the_registration_before_the_one_with_a_start() {
+    let mut harness = Harness::new(1);
+    harness.apply(NOW, snapshot(1, 10, vec![running_update("a", OMITTED, 2)]));
+    harness.apply(NOW, changes(1, 10, 11, vec![update("a", 11, EntryState::Removed)]));
+    harness.apply(NOW, changes(1, 11, 12, vec![running_update("a", LONG_AGO_MS, 12)]));
+    assert_eq!(harness.running_names(), ["a"]);
+    harness.apply(NOW, changes(1, 12, 13, vec![update("a", 13, EntryState::Removed)]));
+    harness.apply(NOW, snapshot(2, 10, vec![running_update("a", OMITTED, 2)]));
+    assert_eq!(harness.running_names(), [""; 0]);
+}
+
 /// Two sources list an endpoint, only one of them with its start. The other lists its drain and its end. The process that
 /// drained must not return by the first one's entry.
 #[test]
