Registry scenario: an entry that loses its start keeps its endpoint and its drain counts

The users' trial with a registry, on sockets and with both protocols: a running endpoint's entry loses started_ms, another one's does as it drains.

--- a/crates/controller/tests/registry/main.rs
+++ b/crates/controller/tests/registry/main.rs
@@ -7,7 +7,7 @@
 
 use std::process::Stdio;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use dahliaroad_demo::Fleet;
 use dahliaroad_fakes::FaultyLink;
@@ -242,6 +242,38 @@
     });
 }
 
+/// The entries of an endpoint that runs and of one that then drains lose their start. The running one was taken for gone for
+/// good, and no longer got any request.
+#[test]
+fn an_entry_that_loses_its_start_keeps_its_endpoint_and_its_drain_counts() {
+    for kind in [RegistryKind::Etcd, RegistryKind::Consul] {
+        run_scenario(async move {
+            let Scenario { fleet, registry, controller, traffic } = start_scenario(kind, 6).await;
+            let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap();
+            for name in ["e0", "e2"] {
+                registry.put_started(&fleet, name, "running", Some(now.as_millis() as u64));
+            }
+            // The registry's order: once a drain is out, what was put before it has been read.
+            registry.put(&fleet, "e1", "draining");
+            wait_until("starts read", || !is_in_any_table(&fleet, "e1")).await;
+            report_load_until(&fleet, &controller, "restarted", || {
+                ["e0", "e2"].iter().all(|name| is_in_any_table(&fleet, name))
+            })
+            .await;
+            registry.put_started(&fleet, "e0", "running", None);
+            registry.put_started(&fleet, "e2", "draining", None);
+            traffic.mark_ended("e2");
+            wait_until("drained", || !is_in_any_table(&fleet, "e2")).await;
+            assert!(is_in_any_table(&fleet, "e0"));
+            registry.put(&fleet, "e3", "draining");
+            wait_until("entry without its start read", || !is_in_any_table(&fleet, "e3")).await;
+            assert!(is_in_any_table(&fleet, "e0"));
+            assert_eq!(traffic.calls_after_grace.get(), 0);
+            assert_eq!(controller.counter("listings of lives that were over").await, 0);
+        });
+    }
+}
+
 /// The operator's file lacks a unit or an end tag, or has an unknown protocol. A reload must change nothing;
 /// a start must exit with a line that names the error.
 #[test]
--- a/crates/controller/tests/registry/registry_fixture.rs
+++ b/crates/controller/tests/registry/registry_fixture.rs
@@ -70,10 +70,18 @@
     }
 
     pub fn put(&self, fleet: &Fleet, name: &str, state: &str) {
+        self.put_started(fleet, name, state, Some(fleet.world.endpoints.borrow()[name].started_ms));
+    }
+
+    /// Puts an endpoint's entry with this start, or without any.
+    pub fn put_started(&self, fleet: &Fleet, name: &str, state: &str, started_ms: Option<u64>) {
         let endpoints = fleet.world.endpoints.borrow();
         let endpoint = &endpoints[name];
-        let value = json!({"address": endpoint.address, "zone": endpoint.zone, "kind": endpoint.kind, "weight": endpoint.capacity,
-            "state": state, "started_ms": endpoint.started_ms});
+        let mut value = json!({"address": endpoint.address, "zone": endpoint.zone, "kind": endpoint.kind, "weight": endpoint.capacity,
+            "state": state});
+        if let Some(started_ms) = started_ms {
+            value["started_ms"] = json!(started_ms);
+        }
         self.store.put(&format!("fleet/{name}"), &value.to_string());
     }
 
