Membership: split the storing of a listing by return policy

apply_listed had grown to 45 lines with three ways through it. replace_listing and succeed_listing are one job each. A source whose names always return no longer keeps a start that lies in the future, as the other policies don't.

--- a/crates/benchmarks/src/simulated_fleet/controller/controller_core.rs
+++ b/crates/benchmarks/src/simulated_fleet/controller/controller_core.rs
@@ -81,7 +81,10 @@
     /// Creates a controller that knows only its deployment.
     pub fn new(deployment: &Deployment) -> ControllerCore {
         let mut membership = Membership::new(TombstoneLimits::default());
-        let discovery = membership.add_source(SourceSettings::direct("discovery"));
+        let discovery = membership.add_source(SourceSettings {
+            start_omitted_after: deployment.warm_up,
+            ..SourceSettings::direct("discovery")
+        });
         ControllerCore { runtime: Runtime::new(deployment.clone(), membership), discovery }
     }
 
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -195,9 +195,6 @@
         self.discard_tombstones(now);
     }
 
-    /// Stores an entry. Under [`ReturnPolicy::Always`] every entry is stored; an omitted start time stays as it was known.
-    /// Otherwise an entry that is older than the known one is ignored, a draining endpoint stays draining within its
-    /// incarnation, and the entry is blocked if its incarnation has ended.
     fn apply_listed(
         &mut self,
         now: Duration,
@@ -206,24 +203,41 @@
         name: &Arc<str>,
         entry: Entry,
     ) {
-        let Origin { source, epoch, .. } = origin;
+        let Origin { source, epoch } = origin;
         let settings = &self.source(source).settings;
         let return_policy = settings.return_policy;
         let started_by = now.saturating_sub(settings.start_omitted_after);
-        let mut listing =
-            Listing { source, blocked: false, epoch, revision, started_by, entry: Arc::new(entry) };
-        if return_policy == ReturnPolicy::Always {
-            if let Some(known) = self.listing(source, name) {
-                listing.inherit_start(known);
+        let entry = Arc::new(entry);
+        let listing = Listing { source, blocked: false, epoch, revision, started_by, entry };
+        match return_policy {
+            ReturnPolicy::Always => self.replace_listing(now, name, listing),
+            _ if self.is_older_than_known(origin, revision, name) => self.counts.stale += 1,
+            ReturnPolicy::UnlessDrained | ReturnPolicy::NewIncarnationOnly => {
+                self.succeed_listing(now, name, listing, return_policy)
             }
-            self.insert_listing(name, listing);
-            return;
         }
-        if self.is_older_than_known(origin, revision, name) {
-            self.counts.stale += 1;
-            return;
+    }
+
+    /// Stores a listing as it is. Only a start time that it omits stays as it was known.
+    fn replace_listing(&mut self, now: Duration, name: &Arc<str>, mut listing: Listing) {
+        if let Some(known) = self.listing(listing.source, name)
+            && !known.has_impossible_start(now)
+        {
+            listing.inherit_start(known);
         }
-        let known = self.listing(source, name);
+        self.insert_listing(name, listing);
+    }
+
+    /// Stores a listing according to the process that it describes. A draining endpoint stays draining within its incarnation,
+    /// and the listing is blocked if its incarnation has ended.
+    fn succeed_listing(
+        &mut self,
+        now: Duration,
+        name: &Arc<str>,
+        mut listing: Listing,
+        return_policy: ReturnPolicy,
+    ) {
+        let known = self.listing(listing.source, name);
         match known.map(|known| (known, known.succession(now, &listing))) {
             Some((known, Succession::Earlier)) if return_policy == ReturnPolicy::UnlessDrained => {
                 let successor_started = known.entry.incarnation.started;
@@ -232,7 +246,7 @@
             }
             Some((known, Succession::Same)) => listing.inherit(known),
             // The name is still listed, but for another incarnation.
-            Some(_) => self.remove_listing(now, source, name),
+            Some(_) => self.remove_listing(now, listing.source, name),
             None => {}
         }
         listing.blocked |= self.tombstones.blocks(name, &listing.listed_incarnation());
--- a/crates/membership/src/succession.rs
+++ b/crates/membership/src/succession.rs
@@ -28,11 +28,9 @@
         // Revisions of one epoch are ordered, and older ones are ignored before. Those of two epochs cannot be compared.
         let is_newer = self.epoch == new.epoch;
         let is_registered_again = is_newer && known.created != listed.created;
-        // A known start that is in the future cannot be true, so any other one corrects it.
-        let is_impossible = known.started > Some(now);
         match new.start_time().compare(self.start_time()) {
             _ if known == listed => Succession::Same,
-            _ if is_impossible => Succession::Later,
+            _ if self.has_impossible_start(now) => Succession::Later,
             StartOrder::Earlier if listed.started.is_some() || !is_newer => Succession::Earlier,
             _ if is_registered_again => Succession::Later,
             StartOrder::Earlier => Succession::Same,
@@ -45,6 +43,11 @@
         }
     }
 
+    /// Whether the start time is in the future. It cannot be true, so any other one corrects it.
+    pub fn has_impossible_start(&self, now: Duration) -> bool {
+        self.entry.incarnation.started > Some(now)
+    }
+
     /// Takes over what is known of the same process: its start time, that it drains, and that it has ended.
     pub fn inherit(&mut self, known: &Listing) {
         self.inherit_start(known);
--- a/crates/membership/src/tombstones.rs
+++ b/crates/membership/src/tombstones.rs
@@ -71,7 +71,7 @@
         let only_one_start = gives_start != ended.start_time.is_given();
         let may_be_drained = match listed.start_time.compare(ended.start_time) {
             StartOrder::Later => return false,
-            StartOrder::Unknown if only_one_start && same_history && gives_start => return false,
+            StartOrder::Unknown if only_one_start && gives_start && same_history => return false,
             StartOrder::Unknown => only_one_start && !same_history,
             StartOrder::Same => true,
             StartOrder::Earlier => false,
