Assigner: a long past start given after all is no restart

What callers saw: less capacity. A list gives the start of running endpoints that was omitted before, as an older list after a move of discovery does: each of them falls to the share of a slow start, however long it has run.

Cause: an omitted start and a given one were two starts.

Evidence, on the text before: slow_start::an_endpoint_whose_long_past_start_is_given_after_all_keeps_its_share: share 0.167 before, 0.087 two seconds after.

Why this works: a process that started longer ago than the warm-up is warm, whether it is the known one or not; a start within the warm-up begins a slow start as before, which the test's second half holds.

--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -47,7 +47,7 @@
         let locality = if self.shards.localities > 1 { entry.zone.index() } else { 0 };
         let is_open = entry.state == EndpointState::Running;
         let is_new = !self.endpoints[endpoint].listing.was_ever_listed();
-        let has_restarted = self.has_restarted(endpoint, entry.started_at);
+        let has_restarted = self.has_restarted(now, endpoint, entry.started_at);
         if is_open && !none_was_open && (is_new || has_restarted) {
             self.begin_slow_start(endpoint, now);
         }
@@ -66,12 +66,17 @@
         listing.is_released = false;
     }
 
-    /// Whether an entry with this start belongs to another process than the known one. The list omits a start
-    /// that is long ago, so an entry without a start proves no restart of an endpoint that is open.
-    fn has_restarted(&self, endpoint: usize, started_at: Option<Duration>) -> bool {
+    /// Whether an entry with this start belongs to another process than the known one. A list omits a start that
+    /// is long ago, and an older list may give it after all. Neither proves a restart of an endpoint that is open.
+    fn has_restarted(&self, now: Duration, endpoint: usize, started_at: Option<Duration>) -> bool {
         let listing = &self.endpoints[endpoint].listing;
-        let is_start_omitted = started_at.is_none() && listing.is_open;
-        started_at != listing.started_at && !is_start_omitted
+        match (listing.started_at, started_at) {
+            (Some(_), None) => !listing.is_open,
+            (None, Some(started_at)) if listing.is_open => {
+                now.saturating_sub(started_at) < self.deployment.warm_up
+            }
+            (known, given) => known != given,
+        }
     }
 
     fn lowest_free_rank(&self, locality: usize) -> usize {
--- a/tests/scenarios/slow_start.rs
+++ b/tests/scenarios/slow_start.rs
@@ -182,3 +182,21 @@
     };
     assert_eq!(shares(true), shares(false));
 }
+
+/// A list gives the start of a running endpoint that was omitted before, as an older list does: it is long ago. The
+/// endpoint was taken for restarted, and its share fell to that of a cold one.
+#[test]
+fn an_endpoint_whose_long_past_start_is_given_after_all_keeps_its_share() {
+    let mut harness = Harness::with_two_proxies(deployment(), 6);
+    harness.run_seconds(30, 15.0, HEALTHY);
+    let before = harness.share(0, 0);
+    let started_at = Some(harness.now - 2 * deployment().warm_up);
+    harness.update_list(false, &[EndpointUpdate { started_at, ..endpoint_update(0, 0) }]);
+    harness.run_seconds(2, 15.0, HEALTHY);
+    assert!(harness.share(0, 0) > 0.9 * before, "{before} {}", harness.share(0, 0));
+    // A start within the warm-up is that of another process, or of one that is still cold.
+    let started_at = Some(harness.now - deployment().warm_up / 2);
+    harness.update_list(false, &[EndpointUpdate { started_at, ..endpoint_update(2, 0) }]);
+    harness.run_seconds(1, 15.0, HEALTHY);
+    assert!(harness.share(0, 2) < 0.7 * before, "{before} {}", harness.share(0, 2));
+}
