Membership: registrations, not a later start, tell entries without a start apart in registries

What callers saw: nothing was reported; found in re-reading. A restored backup lists a drained endpoint as it was first registered, without a start, after a later process with a start had the name: the endpoint ran again, though nothing listens there.

Cause: the successor that a tombstone remembers was also taken as proof in sources that tell when a name was created. There an entry may omit any start, so the successor's being in the past says nothing.

Now only sources without creation revisions, such as discovery, go by the successor.

--- a/crates/membership/src/tombstones.rs
+++ b/crates/membership/src/tombstones.rs
@@ -79,17 +79,15 @@
         self.drained && may_be_drained || !self.is_registered_again(listed)
     }
 
-    /// Whether the entry omits the start time of the later process that has had the name since, or of one after it. It does
-    /// not if it is the registration of the ended incarnation itself.
+    /// Whether the entry omits the start time of the later process that has had the name since, or of one after it. This is
+    /// for sources that do not tell when a name was created; otherwise the registrations show it.
     fn is_succeeded_by(&self, listed: &ListedIncarnation) -> bool {
-        let ended = &self.ended;
-        let same_history = listed.shares_history_with(ended);
-        let is_same_registration = listed.created == ended.created && listed.created != UNKNOWN_CREATION;
         let (Some(successor), StartTime::Omitted(latest)) = (self.successor_started, listed.start_time)
         else {
             return false;
         };
-        !is_same_registration && (same_history || successor <= latest)
+        let may_be_successor = listed.shares_history_with(&self.ended) || successor <= latest;
+        listed.created == UNKNOWN_CREATION && may_be_successor
     }
 
     /// Whether the entry is a registration of its own, made after that of the ended incarnation. Revisions of different
--- a/crates/membership/tests/scenarios/omitted_starts.rs
+++ b/crates/membership/tests/scenarios/omitted_starts.rs
@@ -281,6 +281,21 @@
     assert_eq!(harness.running_names(), [""; 0]);
 }
 
+/// An endpoint drains, and a later process has its name, with a start, and ends. A restored backup lists the drained one as it
+/// was first registered, without a start: it stays out.
+#[test]
+fn a_restored_backup_does_not_restore_a_drained_endpoint_after_a_later_one_with_a_start() {
+    let mut harness = Harness::new(1);
+    let draining = update("a", 10, EntryState::Listed(entry(LONG_AGO_MS, 7, ServingState::Draining)));
+    harness.apply(NOW, snapshot(1, 10, vec![draining]));
+    harness.apply(NOW, changes(1, 10, 11, vec![update("a", 11, EntryState::Removed)]));
+    harness.apply(NOW, changes(1, 11, 12, vec![running_update("a", RECENT_MS, 12)]));
+    assert_eq!(harness.running_names(), ["a"]);
+    harness.apply(NOW, changes(1, 12, 13, vec![update("a", 13, EntryState::Removed)]));
+    harness.apply(NOW, snapshot(2, 6, vec![running_update("a", OMITTED, 5)]));
+    assert_eq!(harness.running_names(), [""; 0]);
+}
+
 /// Two sources list an endpoint, only one of them with its start. The other lists its drain and its end. The process that
 /// drained must not return by the first one's entry.
 #[test]
