Membership: in a registry's other history, the address tells entries without a start apart

(1) A backup restored from before a running endpoint's entry lost its start: the endpoint was taken for gone, for good. (2) A backup that lists an endpoint without a start, as a process did that has ended: requests went to that one's address, where nothing listens.

Cause: (1) an entry with a start, after one without in another history, counted as another process even where it is the same registration; before any given start counted as later. (2) An entry without a start was of the known process wherever its start may be long ago, which in a registry is always; before it was always of an earlier one.

Why this works: the same registration is the same process unless its start is later; and where a registry's histories can't be ordered, an entry without the known start is of the known process only at its address. Discovery tells no registrations and goes by time as before.

The generated store: processes have addresses of their own, starts lie at the time that they happen, and an entry may lose a start that was read before.

--- a/crates/membership/src/listings.rs
+++ b/crates/membership/src/listings.rs
@@ -35,8 +35,9 @@
         ListedIncarnation {
             source: self.source,
             epoch: self.epoch,
-            created: self.entry.incarnation.created,
+            incarnation: self.entry.incarnation,
             start_time: self.start_time(),
+            address: self.entry.address,
         }
     }
 }
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -31,10 +31,17 @@
 pub struct Incarnation {
     /// The start time that the process reports, since 1970; `None` if it reports none.
     pub started: Option<Duration>,
-    /// The revision of the source at which the name was last created.
+    /// The revision of the source at which the name was last created; 0 if the source does not tell it.
     pub created: Revision,
 }
 
+impl Incarnation {
+    /// Whether the source tells when names were created.
+    pub(crate) fn tells_creation(&self) -> bool {
+        self.created > Revision(0)
+    }
+}
+
 /// An endpoint as one source lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
--- a/crates/membership/src/succession.rs
+++ b/crates/membership/src/succession.rs
@@ -34,9 +34,18 @@
             StartOrder::Earlier if listed.started.is_some() || !is_newer => Succession::Earlier,
             _ if is_registered_again => Succession::Later,
             StartOrder::Earlier => Succession::Same,
-            StartOrder::Unknown if known.started.is_some() => Succession::Same,
+            // In another history of a registry, an entry at another address may be of an ended process.
+            StartOrder::Unknown if known.started.is_some() => {
+                let may_have_ended = !is_newer && known.tells_creation();
+                let has_moved = new.entry.address != self.entry.address;
+                if may_have_ended && has_moved { Succession::Later } else { Succession::Same }
+            }
             // The known process may have been listed with its start time before this controller learnt of it.
-            StartOrder::Unknown if listed.started.is_some() && !is_newer && self.is_draining() => {
+            StartOrder::Unknown
+                if listed.started.is_some()
+                    && !is_newer
+                    && (self.is_draining() || known.created == listed.created) =>
+            {
                 Succession::Same
             }
             StartOrder::Unknown | StartOrder::Same | StartOrder::Later => Succession::Later,
--- a/crates/membership/src/tombstones.rs
+++ b/crates/membership/src/tombstones.rs
@@ -1,25 +1,24 @@
 //! Tombstones of ended incarnations, and the check whether a listing belongs to one of them.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::message::{Epoch, Revision};
+use crate::message::{Epoch, Incarnation};
 use crate::settings::TombstoneLimits;
 use crate::source::SourceId;
 use crate::start_time::{StartOrder, StartTime};
 
-/// The `created` revision of all entries of a source that does not tell when a name was created.
-const UNKNOWN_CREATION: Revision = Revision(0);
-
 /// An incarnation as one source lists or listed it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ListedIncarnation {
     pub source: SourceId,
     pub epoch: Epoch,
-    /// The revision of the epoch at which the name was created.
-    pub created: Revision,
+    /// The incarnation as it was listed. Its `created` revision belongs to the epoch.
+    pub incarnation: Incarnation,
     pub start_time: StartTime,
+    pub address: Option<SocketAddr>,
 }
 
 impl ListedIncarnation {
@@ -54,7 +53,8 @@
             }
             (start_time, other_start_time) => start_time == other_start_time,
         };
-        same_start && ended.created == other_ended.created && ended.shares_history_with(other_ended)
+        let same_creation = ended.incarnation.created == other_ended.incarnation.created;
+        same_start && same_creation && ended.shares_history_with(other_ended)
     }
 
     /// Whether a listed entry may belong to this incarnation or an earlier one. A later start time proves a new
@@ -87,23 +87,27 @@
             return false;
         };
         let may_be_successor = listed.shares_history_with(&self.ended) || successor <= latest;
-        listed.created == UNKNOWN_CREATION && may_be_successor
+        !listed.incarnation.tells_creation() && may_be_successor
     }
 
     /// Whether the entry is a registration of its own, made after that of the ended incarnation. Revisions of different
     /// epochs cannot be ordered, but a restored backup contains exactly the revisions from before: in another epoch, any
-    /// other `created` revision counts as a new registration, unless the start time is earlier.
+    /// other `created` revision counts as a new registration, unless the start time is earlier, or is omitted at another
+    /// address than that of the ended incarnation.
     fn is_registered_again(&self, listed: &ListedIncarnation) -> bool {
         let ended = &self.ended;
-        let started_before = listed.start_time.compare(ended.start_time) == StartOrder::Earlier;
+        let (created, ended_created) = (listed.incarnation.created, ended.incarnation.created);
+        let omits_start = ended.start_time.is_given() && !listed.start_time.is_given();
+        let started_before = listed.start_time.compare(ended.start_time) == StartOrder::Earlier
+            || omits_start && listed.address != ended.address;
         if listed.source != ended.source {
             // Unless the incarnation was drained, it ended only because the tombstone's source stopped listing it. The entry
             // of another source then counts as a registration of its own, unless its start time is earlier.
             !self.drained && !started_before
         } else if listed.shares_history_with(ended) {
-            listed.created > ended.created
+            created > ended_created
         } else {
-            listed.created != ended.created && !started_before
+            created != ended_created && !started_before
         }
     }
 }
--- a/crates/membership/tests/generated_store.rs
+++ b/crates/membership/tests/generated_store.rs
@@ -23,6 +23,8 @@
     },
     Drain(u8),
     Delete(u8),
+    /// The entry of a process loses its start time, which the membership has received before.
+    LoseStart(u8),
     /// Sends one message with all changes since the last accepted message, except the latest `held_back` revisions.
     Send {
         held_back: u8,
@@ -40,6 +42,7 @@
         4 => (0..6u8, any::<bool>()).prop_map(|(name, new_key)| Event::Start { name, new_key }),
         2 => (0..6u8).prop_map(Event::Drain),
         2 => (0..6u8).prop_map(Event::Delete),
+        1 => (0..6u8).prop_map(Event::LoseStart),
         4 => (0..4u8).prop_map(|held_back| Event::Send { held_back }),
         1 => any::<u8>().prop_map(Event::Repeat),
         1 => Just(Event::Snapshot),
@@ -93,9 +96,9 @@
     format!("e{number}").into()
 }
 
-/// Returns the process of an entry. The store lists the start time of each process, so that processes can be distinguished.
+/// Returns the process of an entry. Its weight is the start time in milliseconds, as the entry may lose the start itself.
 fn process(name: &Arc<str>, entry: &Entry) -> Process {
-    (name.clone(), entry.incarnation.started.map_or(0, |at| at.as_millis() as u64))
+    (name.clone(), entry.weight as u64)
 }
 
 struct Simulation {
@@ -106,6 +109,8 @@
     messages: Vec<SourceMessage>,
     now: Duration,
     last_start_ms: u64,
+    /// Processes that an accepted message listed with their start times.
+    given_starts: BTreeSet<Process>,
     /// Processes that drained, were removed or were replaced according to the accepted messages.
     ended: BTreeSet<Process>,
     listed: BTreeMap<Arc<str>, Entry>,
@@ -129,6 +134,7 @@
             messages: Vec::new(),
             now: Duration::from_secs(10),
             last_start_ms: 1,
+            given_starts: BTreeSet::new(),
             ended: BTreeSet::new(),
             listed: BTreeMap::new(),
             published: BTreeMap::new(),
@@ -159,11 +165,17 @@
         for update in entries {
             match entry(update) {
                 Some(entry) => {
-                    let same =
-                        self.listed.get(&update.name).is_some_and(|old| old.incarnation == entry.incarnation);
+                    let old = self.listed.get(&update.name);
+                    let same = old.is_some_and(|old| {
+                        process(&update.name, old) == process(&update.name, entry)
+                            && old.incarnation.created == entry.incarnation.created
+                    });
                     if !same {
                         self.record_end(&update.name);
                     }
+                    if entry.incarnation.started.is_some() {
+                        self.given_starts.insert(process(&update.name, entry));
+                    }
                     if entry.serving_state == ServingState::Draining {
                         self.ended.insert(process(&update.name, entry));
                     }
@@ -219,6 +231,7 @@
             Event::Start { name, new_key } => self.start(&endpoint_name(name), new_key),
             Event::Drain(name) => self.drain(&endpoint_name(name)),
             Event::Delete(name) => self.delete(&endpoint_name(name)),
+            Event::LoseStart(name) => self.lose_start(&endpoint_name(name)),
             Event::Send { held_back } => self.send_changes(held_back),
             Event::Repeat(index) => self.repeat(index),
             Event::Snapshot => drop(self.apply(self.store.snapshot())),
@@ -235,18 +248,30 @@
         }
         let created = Revision(self.store.revision() + 1);
         let created = old.filter(|_| !new_key).map_or(created, |old| old.incarnation.created);
-        self.last_start_ms += 1;
+        self.now += Duration::from_millis(1);
+        self.last_start_ms = self.now.as_millis() as u64;
         let entry = Entry {
             incarnation: Incarnation { started: Some(Duration::from_millis(self.last_start_ms)), created },
-            address: None,
+            // Each process has an address of its own.
+            address: Some(([127, 0, 0, 1], self.last_start_ms as u16).into()),
             zone: ZoneId(0),
             kind: 0,
-            weight: 1.0,
+            weight: self.last_start_ms as f64,
             serving_state: ServingState::Running,
         };
         self.store.put(name, EntryState::Listed(entry));
     }
 
+    fn lose_start(&mut self, name: &Arc<str>) {
+        let listed = self.store.current();
+        let Some(entry) = listed.get(name).and_then(entry) else { return };
+        if !self.given_starts.contains(&process(name, entry)) {
+            return;
+        }
+        let incarnation = Incarnation { started: None, ..entry.incarnation };
+        self.store.put(name, EntryState::Listed(Entry { incarnation, ..entry.clone() }));
+    }
+
     fn drain(&mut self, name: &Arc<str>) {
         let listed = self.store.current();
         let Some(entry) = listed.get(name).and_then(entry) else { return };
--- a/crates/membership/tests/scenarios/omitted_starts.rs
+++ b/crates/membership/tests/scenarios/omitted_starts.rs
@@ -296,6 +296,41 @@
     assert_eq!(harness.running_names(), [""; 0]);
 }
 
+/// A backup is restored from before a running endpoint's entry lost its start. It is the same registration, so the endpoint
+/// runs on.
+#[test]
+fn an_endpoint_runs_on_when_a_restored_backup_still_has_its_start() {
+    let mut harness = Harness::new(1);
+    let running = |revision, started_ms| {
+        update("a", revision, EntryState::Listed(entry(started_ms, 2, ServingState::Running)))
+    };
+    harness.apply(NOW, snapshot(1, 10, vec![running(10, OMITTED)]));
+    harness.apply(NOW, snapshot(2, 8, vec![running(8, LONG_AGO_MS)]));
+    assert_eq!(harness.running_names(), ["a"]);
+}
+
+/// A restored backup lists an endpoint without a start at the address of a process that has ended since. Nothing listens
+/// there, whether the later process is still listed or not.
+#[test]
+fn a_restored_backup_without_the_start_does_not_bring_back_the_address_of_an_ended_process() {
+    for created in [2, 5] {
+        for is_removed in [false, true] {
+            let mut harness = Harness::new(1);
+            let running = |started_ms, created, port: u16| {
+                let address = Some(([127, 0, 0, 1], port).into());
+                let entry = Entry { address, ..entry(started_ms, created, ServingState::Running) };
+                update("a", created, EntryState::Listed(entry))
+            };
+            harness.apply(NOW, snapshot(1, 10, vec![running(LONG_AGO_MS, created, 2)]));
+            if is_removed {
+                harness.apply(NOW, changes(1, 10, 11, vec![update("a", 11, EntryState::Removed)]));
+            }
+            harness.apply(NOW, snapshot(2, 3, vec![running(OMITTED, 2, 1)]));
+            assert_eq!(harness.running_names(), [""; 0]);
+        }
+    }
+}
+
 /// Two sources list an endpoint, only one of them with its start. The other lists its drain and its end. The process that
 /// drained must not return by the first one's entry.
 #[test]
