--- a/crates/membership/tests/scenarios/omitted_starts.rs
+++ b/crates/membership/tests/scenarios/omitted_starts.rs
@@ -267,16 +267,23 @@
     }
 }
 
-/// An endpoint ends, registers again with its start, and ends again. A restored backup lists its first registration, which
-/// had no start: nothing runs there.
-#[test]
-fn a_restored_backup_does_not_restore_the_registration_before_the_one_with_a_start() {
+/// Returns a registry in which an endpoint ended after this first entry, ran in another registration with a start, and ended
+/// again.
+fn registry_in_which_ended_twice(first: EntryUpdate) -> Harness {
     let mut harness = Harness::new(1);
-    harness.apply(NOW, snapshot(1, 10, vec![running_update("a", OMITTED, 2)]));
+    harness.apply(NOW, snapshot(1, 10, vec![first]));
     harness.apply(NOW, changes(1, 10, 11, vec![update("a", 11, EntryState::Removed)]));
-    harness.apply(NOW, changes(1, 11, 12, vec![running_update("a", LONG_AGO_MS, 12)]));
+    harness.apply(NOW, changes(1, 11, 12, vec![running_update("a", RECENT_MS, 12)]));
     assert_eq!(harness.running_names(), ["a"]);
     harness.apply(NOW, changes(1, 12, 13, vec![update("a", 13, EntryState::Removed)]));
+    harness
+}
+
+/// An endpoint ends, registers again with its start, and ends again. A restored backup lists its first registration, which
+/// had no start: nothing runs there.
+#[test]
+fn a_restored_backup_does_not_restore_the_registration_before_the_one_with_a_start() {
+    let mut harness = registry_in_which_ended_twice(running_update("a", OMITTED, 2));
     harness.apply(NOW, snapshot(2, 10, vec![running_update("a", OMITTED, 2)]));
     assert_eq!(harness.running_names(), [""; 0]);
 }
@@ -285,13 +292,8 @@
 /// was first registered, without a start: it stays out.
 #[test]
 fn a_restored_backup_does_not_restore_a_drained_endpoint_after_a_later_one_with_a_start() {
-    let mut harness = Harness::new(1);
     let draining = update("a", 10, EntryState::Listed(entry(LONG_AGO_MS, 7, ServingState::Draining)));
-    harness.apply(NOW, snapshot(1, 10, vec![draining]));
-    harness.apply(NOW, changes(1, 10, 11, vec![update("a", 11, EntryState::Removed)]));
-    harness.apply(NOW, changes(1, 11, 12, vec![running_update("a", RECENT_MS, 12)]));
-    assert_eq!(harness.running_names(), ["a"]);
-    harness.apply(NOW, changes(1, 12, 13, vec![update("a", 13, EntryState::Removed)]));
+    let mut harness = registry_in_which_ended_twice(draining);
     harness.apply(NOW, snapshot(2, 6, vec![running_update("a", OMITTED, 5)]));
     assert_eq!(harness.running_names(), [""; 0]);
 }
