--- a/review/peers-2/cases.rs
+++ b/review/peers-2/cases.rs
@@ -227,7 +227,7 @@
         if play.trouble {
             play.list(&lost, "left");
         }
-        play.wait(0.7);
+        play.wait(0.6);
         for proxy in [3, 7, 11] {
             play.world.lock().unwrap().join(proxy, false);
         }
@@ -273,7 +273,7 @@
         play.wait(1.9);
         play.set(&["b2"], Condition::Leaving);
         play.list(&["b2"], "leaving");
-        play.wait(0.4);
+        play.wait(0.3);
         if play.trouble {
             // Discovery tells of a new node up to 2.3 s late.
             play.list(&["b9"], "active");
--- a/review/peers-2/main.rs
+++ b/review/peers-2/main.rs
@@ -118,12 +118,15 @@
     for line in &world.record {
         println!("{line}");
     }
-    println!("\ncalls by endpoint, in each second of the run:");
+    println!("\ncalls by endpoint, in each second of the run: sent/answered, and those that found no line:");
     let seconds = world.calls.keys().map(|(second, _)| *second).max().unwrap_or(0);
     let names: Vec<&str> = world.endpoints.iter().map(|endpoint| endpoint.name.as_str()).collect();
-    println!("second {} refused", names.join(" "));
+    println!("second {} no line", names.join(" "));
     for second in 0..=seconds {
-        let calls = (0..names.len()).map(|index| world.calls.get(&(second, index)).copied().unwrap_or(0).to_string());
+        let calls = (0..names.len()).map(|index| {
+            let of = |counts: &std::collections::BTreeMap<(u64, usize), u32>| counts.get(&(second, index)).copied().unwrap_or(0);
+            format!("{}/{}", of(&world.calls), of(&world.answered))
+        });
         let refused: u32 = world.refused.iter().filter(|((at, ..), _)| *at == second).map(|(_, count)| count).sum();
         println!("{second:6} {} {refused}", calls.collect::<Vec<_>>().join(" "));
     }
--- a/review/peers-2/orders.rs
+++ b/review/peers-2/orders.rs
@@ -59,6 +59,7 @@
             self.note(format!("order {order}"));
             taken += 1;
         }
+        self.note(format!("the relay answers: {taken} of {} orders", orders.len()));
         if let Some((_, true)) = mark {
             for proxy in 0..self.proxies.len() {
                 if self.proxies[proxy].joined.is_some() {
--- a/review/peers-2/peers.rs
+++ b/review/peers-2/peers.rs
@@ -296,6 +296,7 @@
 /// The pilot, started as the deploy file says.
 pub struct Pilot {
     child: Child,
+    number_file: String,
 }
 
 impl Pilot {
@@ -307,8 +308,9 @@
         command.stdout(log.try_clone().unwrap()).stderr(log);
         let child = command.spawn().unwrap();
         // The script ends the process by this number if this program is ended.
-        let _ = std::fs::write(format!("{folder}/pilot.pid"), child.id().to_string());
-        Pilot { child }
+        let number_file = format!("{folder}/pilot.pid");
+        let _ = std::fs::write(&number_file, child.id().to_string());
+        Pilot { child, number_file }
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -318,5 +320,6 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.number_file);
     }
 }
--- a/review/peers-2/proxies.rs
+++ b/review/peers-2/proxies.rs
@@ -160,6 +160,7 @@
         match e.condition {
             Condition::Up if e.fallen.is_none() && e.queue < 2.0 * capacity => {
                 e.queue += work;
+                *self.answered.entry(((now / 1000.0) as u64, endpoint)).or_default() += 1;
                 e.work.push_back((now, work, knows));
                 sums.total += 1.0;
                 sums.time += 100.0 + 1000.0 * e.queue / capacity;
--- a/review/peers-2/run-case.sh
+++ b/review/peers-2/run-case.sh
@@ -23,7 +23,6 @@
 wait "$player"
 status=$?
 player=
-rm -f "$temporary/pilot.pid"
 clean_up
 tail -n 1 "$case_folder/record.txt"
 [ "$status" -le 1 ] || status=2
--- a/review/peers-2/world.rs
+++ b/review/peers-2/world.rs
@@ -131,6 +131,8 @@
     pub broken: Vec<String>,
     /// By endpoint and second: calls.
     pub calls: BTreeMap<(u64, usize), u32>,
+    /// The same, of those that the endpoint took, ran and answered.
+    pub answered: BTreeMap<(u64, usize), u32>,
     pub refused: BTreeMap<(u64, usize, usize), u32>,
     pub worst_bare: f64,
     pub worst_drain: f64,
@@ -160,6 +162,7 @@
             first_alive: None,
             broken: Vec::new(),
             calls: BTreeMap::new(),
+            answered: BTreeMap::new(),
             refused: BTreeMap::new(),
             worst_bare: 0.0,
             worst_drain: 0.0,
