Assigner: limit what proxies admit where a table's entries are all cold

Cause: warming_load.rs lowers the weights of warming endpoints, but weights only divide a table's requests. Where all entries are cold, lower weights reduce nobody's load, and admission.rs knows one ratio for the whole fleet, which measured load showed to be calm.

Change: cold_tables.rs. After each assignment a table without a warm entry gets an admission limit of its own, from what its endpoints can take at their age, as a ratio or as requests per second of each proxy. A lower limit is urgent. A table that is still empty gets the limit half a second before its entries, so that rate limiters let no burst through. Where proxies ignore admission, an empty table gets entries only once they can bear all requests. As soon as an endpoint that may serve the classes is listed and warm, nothing is withheld (rule 1) and nothing is limited. Failures of the processes that the cold ones replaced do not count against the limit.

Evidence: the six tests of scenarios::cold_tables failed on the text before (a zone that returns, a fleet that returns, restarts in place, a controller that starts with a cold fleet, idle proxies, a proxy that joins).

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -146,12 +146,24 @@
         AdmissionTarget { rate, retry_policy }
     }
 
+    /// Returns the admission settings for a class of the proxies of one table. While all its entries are cold,
+    /// it has a limit of its own, and nothing is retried, because the retries would go to cold endpoints.
+    pub(crate) fn table_admission(&self, table: usize, class: usize) -> AdmissionTarget {
+        let target = self.admission.targets[class];
+        match &self.tables[table].admission_limits {
+            Some(limits) => {
+                AdmissionTarget { rate: target.rate.min(limits[class]), retry_policy: RetryPolicy::Never }
+            }
+            None => target,
+        }
+    }
+
     /// Returns the classes of a table whose admission has to be sent to the table's proxies, because it
     /// changed or because the last order for it is unconfirmed.
     pub(crate) fn pending_admissions(&self, table: usize) -> Vec<usize> {
         let table_state = &self.tables[table];
         let is_pending = |&class: &usize| {
-            let target = self.admission.targets[class];
+            let target = self.table_admission(table, class);
             let ordered = table_state.ordered_admissions[class];
             let rate_changed = (target.rate - ordered.rate).abs() > MIN_RATE_CHANGE * ordered.rate;
             rate_changed
--- a/src/arithmetic.rs
+++ b/src/arithmetic.rs
@@ -61,6 +61,12 @@
     if share < 1.0 { share / (1.0 - share) } else { 0.0 }
 }
 
+/// Returns the ratio of a value to the sum of all values. If the sum is 0, this is an even share.
+pub(crate) fn share_of_sum(value: f64, values: &[f64]) -> f64 {
+    let sum: f64 = values.iter().sum();
+    if sum > 0.0 { value / sum } else { 1.0 / values.len().max(1) as f64 }
+}
+
 /// Returns the value that a quarter of all values are below; 0 if there are no values.
 pub(crate) fn lower_quartile(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -47,6 +47,7 @@
             self.step_weights(table, shares, max_step, &warming_up, is_retry_storm);
         }
         self.limit_warming_load(&targets.flow_rates, &warming_up);
+        self.limit_cold_tables(&targets.flow_rates, &demand);
         for table in 0..self.tables.len() {
             self.update_pending(table);
         }
--- a/src/binding.rs
+++ b/src/binding.rs
@@ -36,12 +36,13 @@
         proxy.left_at.is_none() && (!proxy.is_bound || may_be_bound_again())
     }
 
-    /// Whether a shard has a table to bind to and its tables fit into `room` protocol lines of the channel.
+    /// Whether a shard has a table to bind to and its tables fit into `room` protocol lines of the channel. A table
+    /// whose cold entries are withheld is one to bind to: without it, its proxies send to these endpoints what
+    /// they like, by the table that they started with.
     fn can_bind(&self, shard: usize, room: f64) -> bool {
         let lines = self.message_lines(self.binding_lines(shard));
-        let has_entries =
-            self.tables[self.shards.tables_of(shard)].iter().any(|table| table.ordered_entries() > 0);
-        lines <= room && has_entries
+        let mut tables = self.tables[self.shards.tables_of(shard)].iter();
+        lines <= room && tables.any(|table| table.ordered_entries() > 0 || table.limited_since.is_some())
     }
 
     /// Returns the maximum number of lines of a binding to the tables of a shard: one line for each table,
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -165,18 +165,25 @@
     /// Returns an endpoint's effective capacity, in requests per second: its warm capacity, times the ratio
     /// that its slow start allows, times the ratio of attempts that it serves.
     fn estimate_capacity(&self, endpoint: usize, means: &MeanCapacities) -> f64 {
+        let ramped_capacity = self.ramped_capacity(endpoint, means);
+        // Shallow health checks meet no errors and may never confirm an outlier, so a suspected endpoint is
+        // limited to the ratio of attempts that it serves.
+        let is_suspected = self.is_suspected(endpoint) && !self.is_connection_limited();
+        let success_ratio =
+            if is_suspected { 1.0 - self.endpoints.excess_failure_ratio(endpoint) } else { 1.0 };
+        ramped_capacity * success_ratio.max(MIN_CAPACITY_RATIO)
+    }
+
+    /// Returns what an endpoint may be assigned at this point of its slow start, in requests per second,
+    /// however many of its attempts fail; 0 if it is not in use.
+    pub(crate) fn ramped_capacity(&self, endpoint: usize, means: &MeanCapacities) -> f64 {
         let endpoint_state = &self.endpoints[endpoint];
         let warm_capacity = warm_capacity(endpoint_state, means);
         let slow_start = &endpoint_state.slow_start;
         let observed_capacity = slow_start.throughput / slow_start.utilization.max(MIN_UTILIZATION);
         let observed_ratio = observed_capacity / warm_capacity.max(f64::MIN_POSITIVE);
         let ramp = if self.is_usable(endpoint) { self.recovery_ramp(endpoint, observed_ratio) } else { 0.0 };
-        // Shallow health checks meet no errors and may never confirm an outlier, so a suspected endpoint is
-        // limited to the ratio of attempts that it serves.
-        let is_suspected = self.is_suspected(endpoint) && !self.is_connection_limited();
-        let success_ratio =
-            if is_suspected { 1.0 - self.endpoints.excess_failure_ratio(endpoint) } else { 1.0 };
-        warm_capacity * ramp * success_ratio.max(MIN_CAPACITY_RATIO)
+        warm_capacity * ramp
     }
 
     pub(crate) fn mean_capacities(&self) -> MeanCapacities {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 mod assignment;
 mod binding;
 mod capacity;
+mod cold_tables;
 mod delivery;
 mod demand;
 pub mod deployment;
--- a/src/publication.rs
+++ b/src/publication.rs
@@ -75,18 +75,34 @@
         self.publish_oldest(may_publish)
     }
 
+    /// Returns the table with the oldest publication among those whose proxies may admit more than the table's
+    /// cold endpoints can take.
+    pub(crate) fn table_with_urgent_admissions(&self) -> Option<Action> {
+        let may_publish = |&table: &usize| {
+            let classes = self.pending_limits(table).len();
+            let limits = PublicationLimits {
+                messages: MessageBudget::spaced(ADMISSION_MESSAGE_SHARE),
+                queue_share: ORDINARY_QUEUE_SHARE,
+                is_urgent: true,
+            };
+            classes > 0 && self.is_used(table) && self.block_reason(table, classes, limits).is_none()
+        };
+        self.publish_oldest(may_publish)
+    }
+
     /// Returns the table with the oldest publication among those whose changes justify a message.
     pub(crate) fn table_with_changes(&self) -> Option<Action> {
         if self.deployment.tables_by_key_range {
             return None;
         }
-        let may_publish = |&table: &usize| {
-            let is_used = !self.shards.members[self.shards.shard_of_table(table)].is_empty();
-            is_used && self.may_publish_changes(table)
-        };
+        let may_publish = |&table: &usize| self.is_used(table) && self.may_publish_changes(table);
         self.publish_oldest(may_publish)
     }
 
+    fn is_used(&self, table: usize) -> bool {
+        !self.shards.members[self.shards.shard_of_table(table)].is_empty()
+    }
+
     /// Returns the table with the oldest publication among those that `may_publish` accepts.
     fn publish_oldest(&self, may_publish: impl Fn(&usize) -> bool) -> Option<Action> {
         let tables = (0..self.tables.len()).filter(may_publish);
@@ -204,19 +220,20 @@
     }
 
     /// Orders as many of a table's pending changes as fit. If all of them had to fit, a table longer than the
-    /// channel could never be sent. If there are urgent entries and not all changes fit into
-    /// [`WHOLE_TABLE_QUEUE_SHARE`], only the urgent entries are ordered.
+    /// channel could never be sent. If anything is urgent and not all changes fit into
+    /// [`WHOLE_TABLE_QUEUE_SHARE`], only the urgent entries and the limits of a cold table are ordered.
     pub(crate) fn publish(&mut self, table: usize, orders: &mut Orders) {
         let mut admissions = self.pending_admissions(table);
+        let limits = self.pending_limits(table);
         let pending = &self.tables[table].pending;
-        let is_urgent = pending.urgent > 0;
+        let is_urgent = pending.urgent > 0 || !limits.is_empty();
         let changes = pending.entries.len() + admissions.len();
         let queue_share =
             if is_urgent { self.urgent_limits(table).queue_share } else { ORDINARY_QUEUE_SHARE };
         let mut fitting = self.entries_fitting(table, queue_share, is_urgent).min(changes);
         if is_urgent && self.entries_fitting(table, WHOLE_TABLE_QUEUE_SHARE, true) < changes {
-            admissions.clear();
-            fitting = fitting.min(pending.urgent);
+            fitting = fitting.min(pending.urgent + limits.len());
+            admissions = limits;
         }
         let entries = fitting.saturating_sub(admissions.len());
         self.order_changes(table, entries, &admissions, orders);
@@ -226,6 +243,7 @@
     /// Orders the first `entries` pending entries of a table, and the admissions of `classes`.
     fn order_changes(&mut self, table: usize, entries: usize, classes: &[usize], orders: &mut Orders) {
         let id = TableId::from_index(table);
+        let targets: Vec<_> = classes.iter().map(|&class| self.table_admission(table, class)).collect();
         let table_state = &mut self.tables[table];
         let entries = table_state.take_pending(entries);
         table_state.published_at = self.now;
@@ -236,8 +254,7 @@
             table_state.ordered_weights[endpoint] = weight;
             table_state.unconfirmed.remove_weight(endpoint);
         }
-        for &class in classes {
-            let target = self.admission.targets[class];
+        for (&class, target) in classes.iter().zip(targets) {
             let order = AdmissionOrder {
                 table: id,
                 classes: ClassSet::of(&[class]),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,7 @@
     Assigner::recovered_endpoint,
     Assigner::due_reassignment,
     Assigner::table_with_urgent_entries,
+    Assigner::table_with_urgent_admissions,
     Assigner::unbound_proxy,
     Assigner::table_with_changes,
     Assigner::late_withdrawal,
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -86,6 +86,10 @@
     pub ordered_weights: Vec<f64>,
     /// By class: the admission that was ordered last.
     pub ordered_admissions: Vec<AdmissionTarget>,
+    /// By class: the highest admission rate while all entries are cold, in the deployment's admission unit.
+    pub admission_limits: Option<Vec<f64>>,
+    /// Since when proxies have been ordered to apply these limits; `None` if that is pending.
+    pub limited_since: Option<Duration>,
     pub pending: PendingPublication,
     pub withdrawal: Option<PendingWithdrawal>,
     pub unconfirmed: UnconfirmedOrders,
--- a/src/warming_load.rs
+++ b/src/warming_load.rs
@@ -10,7 +10,7 @@
 
 /// The maximum expected load of a warming endpoint, as a ratio of its effective capacity. It is below 1 to
 /// allow for errors of the estimate.
-const CAPACITY_MARGIN: f64 = 0.7;
+pub(crate) const CAPACITY_MARGIN: f64 = 0.7;
 
 /// The expected load, in requests per second.
 struct ExpectedLoad {
--- a/src/weight_steps.rs
+++ b/src/weight_steps.rs
@@ -124,6 +124,7 @@
 
     /// Updates the pending entries of a table.
     pub(crate) fn update_pending(&mut self, table: usize) {
+        self.track_admission_limit(table);
         self.tables[table].pending = self.pending_publication(table);
         self.track_withdrawal(table);
     }
@@ -136,6 +137,9 @@
     fn pending_publication(&self, table: usize) -> PendingPublication {
         let table_state = &self.tables[table];
         let mut entries = table_state.changed_entries();
+        if self.withholds_entries(table) {
+            entries.retain(|&endpoint| table_state.weights[endpoint] <= 0.0);
+        }
         let has_withdrawal = entries.iter().any(|&endpoint| self.needs_withdrawal(table, endpoint));
         let urgent = entries.iter().filter(|&&endpoint| self.is_urgent(table, endpoint)).count();
         if table_state.would_leave_little_weight() {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -25,6 +25,8 @@
     pub tables: BTreeMap<u32, BTreeMap<u32, f64>>,
     pub bindings: BTreeMap<u32, u32>,
     pub admissions: BTreeMap<u64, (f64, RetryPolicy)>,
+    /// The admission rate that was last ordered, by table and class.
+    pub table_rates: BTreeMap<(u32, u32), f64>,
     pub health_checks: Vec<u32>,
     /// Outcomes of health checks, by endpoint. Checks of all other endpoints pass.
     pub health_check_outcomes: BTreeMap<u32, HealthCheckOutcome>,
@@ -110,6 +112,7 @@
             tables: BTreeMap::new(),
             bindings: BTreeMap::new(),
             admissions: BTreeMap::new(),
+            table_rates: BTreeMap::new(),
             health_checks: Vec::new(),
             health_check_outcomes: BTreeMap::new(),
             messages: Vec::new(),
@@ -234,7 +237,7 @@
         entries.get(&endpoint).copied().unwrap_or(0.0) / entries.values().sum::<f64>()
     }
 
-    fn apply(&mut self, orders: Orders) {
+    pub fn apply(&mut self, orders: Orders) {
         let mut addressed_proxies: Vec<u32> = Vec::new();
         for WeightOrder { table, endpoint, weight } in orders.weights {
             assert!(weight.is_finite() && weight >= 0.0, "weight {weight}");
@@ -249,6 +252,8 @@
         }
         for AdmissionOrder { table, classes, rate, retry_policy } in orders.admissions {
             self.admissions.insert(classes.0, (rate, retry_policy));
+            let classes = (0..u64::BITS).filter(|class| classes.0 >> class & 1 == 1);
+            self.table_rates.extend(classes.map(|class| ((table.0, class), rate)));
             addressed_proxies.extend(
                 self.bindings.iter().filter(|(_, bound_to)| **bound_to == table.0).map(|(proxy, _)| proxy),
             );
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -7,6 +7,7 @@
 mod assignment;
 mod binding;
 mod capacity;
+mod cold_tables;
 mod demand;
 mod deployment_sizes;
 mod endpoint_list;
