Assignment: idle proxies of a zone without warm endpoints get warm ones elsewhere

Callers that came back to the proxies of a lost zone found no endpoint, although other zones had warm ones; once the zone returned cold they were all sent to its cold endpoints.

Cause: local_ratios lets all of a locality's requests stay there while they fit its capacity. No requests fit no capacity, so the tables of idle proxies were empty, and then had cold entries alone.

Change: without a warm endpoint of its own, a locality keeps at most half of its requests while others have warm ones, and none while its proxies are idle. Classes that keep to their zone are as before.

Evidence: scenarios::cold_tables::idle_proxies_of_a_zone_without_warm_endpoints_have_warm_ones_of_other_zones failed on the text before; it passes.

--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -7,11 +7,16 @@
 
 use crate::capacity::MIN_CAPACITY_RATIO;
 use crate::state::Assigner;
+use crate::table_shards::MIN_FLOW_RATE;
 use crate::weight_steps::MAX_WEIGHT_STEP;
 
 /// Requests stay in their locality up to this load, or up to the fleet's load if that is higher.
 const MAX_LOCAL_LOAD: f64 = 0.65;
 
+/// The highest ratio of its requests that stays in a locality without warm endpoints while others have some. It
+/// is below 1 so that tables have warm entries, which take what the weights of cold ones may not.
+const MAX_COLD_LOCAL_RATIO: f64 = 0.5;
+
 /// The part of each flow that stays in its locality, and the part that may be served anywhere.
 struct LocalitySplit {
     /// By flow: the ratio that stays.
@@ -81,7 +86,7 @@
         };
         for (locality, flows) in demand.chunks(self.groups.len()).enumerate() {
             let local_capacity = self.local_capacity(locality, capacity);
-            let ratios = self.local_ratios(flows, &local_capacity, max_load);
+            let ratios = self.local_ratios(locality, flows, &local_capacity, max_load);
             let local_demand: Vec<f64> =
                 flows.iter().zip(&ratios).map(|(flow, ratio)| flow * ratio).collect();
             split.remote_demand += flows.iter().sum::<f64>() - local_demand.iter().sum::<f64>();
@@ -119,7 +124,13 @@
     /// stay whatever the load. If the fleet is connection-limited, everything stays as long as warm endpoints
     /// provide more than half of what the locality can serve, because endpoints elsewhere would need
     /// connections of their own.
-    fn local_ratios(&self, flows: &[f64], local_capacity: &[f64], max_load: f64) -> Vec<f64> {
+    fn local_ratios(
+        &self,
+        locality: usize,
+        flows: &[f64],
+        local_capacity: &[f64],
+        max_load: f64,
+    ) -> Vec<f64> {
         let max_local_demand = local_capacity.iter().sum::<f64>() * max_load;
         let demand: f64 = flows.iter().sum();
         let warm = local_capacity.iter().enumerate().filter(|(endpoint, _)| !self.is_warming_up(*endpoint));
@@ -128,8 +139,25 @@
             self.is_connection_limited() && warm_capacity * max_load > max_local_demand / 2.0;
         let ratio =
             if max_local_demand >= demand || keeps_all_local { 1.0 } else { max_local_demand / demand };
+        let ratio = ratio.min(self.max_local_ratio(locality, demand));
         self.groups.iter().map(|group| if group.own_locality_only { 1.0 } else { ratio }).collect()
     }
+
+    /// Returns the highest ratio of a locality's `demand`, in requests per second, that may stay there. Nothing
+    /// shows what its proxies bring later if they are idle now, so without warm endpoints of its own none of
+    /// it has to stay.
+    fn max_local_ratio(&self, locality: usize, demand: f64) -> f64 {
+        let is_warm = |endpoint: &usize| !self.is_cold(*endpoint) && self.is_usable(*endpoint);
+        let mut warm = self.endpoints.open().filter(is_warm).peekable();
+        let has_none = warm.peek().is_none();
+        if has_none || warm.any(|endpoint| self.endpoints[endpoint].listing.locality == locality) {
+            1.0
+        } else if demand < MIN_FLOW_RATE {
+            0.0
+        } else {
+            MAX_COLD_LOCAL_RATIO
+        }
+    }
 }
 
 /// Returns the shares of a flow of which `local_ratio` stays in its locality.
--- a/src/table_shards.rs
+++ b/src/table_shards.rs
@@ -22,7 +22,7 @@
 const MIN_SHARD_SHARE: f64 = 0.1;
 /// The minimum requests per second that are assumed for a flow, so that the shares of a flow without requests
 /// are defined.
-const MIN_FLOW_RATE: f64 = 0.1;
+pub(crate) const MIN_FLOW_RATE: f64 = 0.1;
 /// The number of passes of proportional fitting.
 const FITTING_PASSES: usize = 30;
 
--- a/tests/scenarios/cold_tables.rs
+++ b/tests/scenarios/cold_tables.rs
@@ -217,6 +217,27 @@
     assert!(sent > 0.0 && sent < limit, "{sent} {limit}");
 }
 
+/// A zone is lost while its proxies are idle, and returns cold. With no known demand, all of it was to stay in the zone:
+/// its table was empty while the zone was lost, and had cold entries alone when it came back.
+#[test]
+fn idle_proxies_of_a_zone_without_warm_endpoints_have_warm_ones_of_other_zones() {
+    let mut harness = Harness::new(deployment_of(AdmissionUnit::RequestsPerSecond, false));
+    let all: Vec<EndpointUpdate> = (0..ENDPOINTS).map(|e| endpoint_update(e, e % 2)).collect();
+    harness.update_list(true, &all);
+    let orders = harness.assigner.proxy_joined(harness.now, ProxyId(0), ZoneId(0), 0.0);
+    harness.apply(orders);
+    harness.advance(20);
+    let warm_share =
+        |harness: &Harness| [1, 3, 5, 7].map(|e| harness.share(harness.bindings[&0], e)).iter().sum::<f64>();
+    list(&mut harness, &zone_0(), EndpointState::Removed, None);
+    harness.advance(20);
+    assert!(warm_share(&harness) > 0.99, "{}", warm_share(&harness));
+    let started_at = harness.now;
+    list(&mut harness, &zone_0(), EndpointState::Running, Some(started_at));
+    harness.advance(20);
+    assert!(warm_share(&harness) > 0.5, "{}", warm_share(&harness));
+}
+
 /// A proxy joins while its zone has cold endpoints alone. Bound to a table without a limit, or not bound at all, it
 /// sends what it likes to them.
 #[test]
