Assignment: withdraw the entries of all endpoints that end at once

Cause: without any capacity the even load is infinite, times a capacity of 0 it is NaN, and so was every weight. A NaN weight never counts as changed, so nothing was withdrawn.

Change: the even load is finite.

--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -102,10 +102,10 @@
     }
 
     /// Returns the load up to which endpoints serve their own locality first. Until capacities are measured,
-    /// this is the even load.
+    /// this is the even load. It is finite also without any capacity, so that it can be multiplied by a capacity of 0.
     fn max_local_load(&self, demand: &[f64], capacity: &[f64]) -> f64 {
         let demand = demand.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-        let even_load = demand / capacity.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        let even_load = (demand / capacity.iter().sum::<f64>().max(f64::MIN_POSITIVE)).min(f64::MAX);
         match self.mean_capacities().overall {
             Some(_) => MAX_LOCAL_LOAD.max(even_load),
             None => even_load,
--- a/tests/scenarios/endpoint_list.rs
+++ b/tests/scenarios/endpoint_list.rs
@@ -2,6 +2,23 @@
 
 use super::*;
 
+/// All endpoints drain at once. With no capacity left, every weight became NaN, which never counts as a change, so that
+/// nothing was withdrawn and proxies went on sending.
+#[test]
+fn when_all_endpoints_end_their_entries_are_withdrawn() {
+    for own_zone_only in [false, true] {
+        let class = |class: ClassSettings| ClassSettings { own_zone_only, ..class };
+        let classes = deployment().classes.into_iter().map(class).collect();
+        let mut harness =
+            Harness::with_two_proxies(Deployment { classes, ..deployment_with_zone_price() }, 6);
+        harness.run_seconds(5, 15.0, HEALTHY);
+        let drained = |e: u32| EndpointUpdate { state: EndpointState::Draining, ..endpoint_update(e, e % 2) };
+        harness.update_list(false, &(0..6).map(drained).collect::<Vec<_>>());
+        harness.advance(5);
+        assert!(harness.tables.values().all(|entries| entries.is_empty()), "{:?}", harness.tables);
+    }
+}
+
 /// One endpoint drains, others are no longer listed, and one zone has no endpoint left. The proxies of that zone must
 /// still have an endpoint.
 #[test]
