Membership: wall clocks order no processes and make none look warm

The wall clock had been stepped back by an hour and the endpoint had restarted since.

Cause: start times ordered the processes of a name. An entry whose start was earlier than the known one was of an earlier process, and discovery's entries of earlier processes are ignored whole, drains included. The counter of superseded entries shows it. The same starts gave ages: such a process looked an hour old, and one that started an hour ahead cold for an hour. Tombstones kept a process out whose start was earlier than that of the drained one before it.

Change: in one history the revision alone orders entries (succession.rs, tombstones.rs). In another one an earlier start is that of an earlier process only while the known one has appeared less than the warm-up ago, by the monotonic clock, or if it is the start of the process before the known one. A process that appears cannot have started after that, nor more than 6 s before (when the platform counts lists as delivered); otherwise it is cold from then on (appearance.rs, Entry::started_at). A process that a list drops and has again with the same start keeps its age.

--- a/crates/benchmarks/src/simulated_fleet/controller/controller_core.rs
+++ b/crates/benchmarks/src/simulated_fleet/controller/controller_core.rs
@@ -167,6 +167,7 @@
 fn entry(listed: &ListedEndpoint, serving_state: ServingState) -> Entry {
     Entry {
         incarnation: Incarnation { started: listed.started, created: Revision(0) },
+        cold_since: None,
         address: Some(address(listed.index)),
         zone: ZoneId(listed.zone as u32),
         kind: 0,
--- a/crates/controller/src/commands/compare_zones.rs
+++ b/crates/controller/src/commands/compare_zones.rs
@@ -102,7 +102,7 @@
     Some(if old.started < new.started {
         "restarted".to_owned()
     } else if new.started < old.started {
-        "goes, as its start is earlier than before".to_owned()
+        "restarted, by an earlier start; goes, if that start was listed before".to_owned()
     } else if changes_state && old.serving_state == ServingState::Draining {
         "stays draining, as its start did not change".to_owned()
     } else if changes_state {
--- a/crates/controller/src/discovery/endpoint_list.rs
+++ b/crates/controller/src/discovery/endpoint_list.rs
@@ -171,6 +171,7 @@
         let listed = |serving_state| {
             EntryState::Listed(Entry {
                 incarnation: Incarnation { started, created: Revision(0) },
+                cold_since: None,
                 address: Some(self.address),
                 zone,
                 kind,
--- a/crates/controller/src/discovery/endpoint_list/tests.rs
+++ b/crates/controller/src/discovery/endpoint_list/tests.rs
@@ -26,6 +26,7 @@
     let update = |name: &str, state| EntryUpdate { name: Arc::from(name), revision: Revision(7), state };
     let first = Entry {
         incarnation: Incarnation { started: Some(Duration::from_millis(2500)), created: Revision(0) },
+        cold_since: None,
         address: Some("10.0.0.1:80".parse().unwrap()),
         zone: ZoneId(1),
         kind: 0,
@@ -34,6 +35,7 @@
     };
     let second = Entry {
         incarnation: Incarnation { started: None, created: Revision(0) },
+        cold_since: None,
         address: Some("10.0.0.2:80".parse().unwrap()),
         zone: ZoneId(0),
         kind: 1,
--- a/crates/controller/tests/discovery.rs
+++ b/crates/controller/tests/discovery.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use harness::*;
 
@@ -61,6 +61,29 @@
     });
 }
 
+/// An endpoint restarts after the wall clock was stepped back by an hour, so that its start is earlier than the one listed
+/// before. Its later drain was taken for that of an earlier process, and nothing was ordered until it was listed as gone.
+#[test]
+fn a_drain_counts_after_a_restart_at_a_clock_that_was_stepped_back() {
+    run_scenario(async {
+        let (fleet, controller) = start_fleet_and_controller(6).await;
+        let list_start = async |started_ms: u64| {
+            fleet.world.endpoints.borrow_mut().get_mut("e0").unwrap().started_ms = started_ms;
+            fleet.world.first_requested_version.set(None);
+            fleet.world.set_health("e0", "active");
+            let version = fleet.world.list_version.get();
+            wait_until("start read", || fleet.world.first_requested_version.get() == Some(Some(version)))
+                .await;
+        };
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap();
+        list_start(now.as_millis() as u64).await;
+        list_start((now - Duration::from_secs(3600)).as_millis() as u64).await;
+        fleet.world.set_health("e0", "leaving");
+        wait_until("drained", || !is_in_any_table(&fleet, "e0")).await;
+        assert_eq!(controller.counter("entries left out for an earlier start").await, 0);
+    });
+}
+
 /// An endpoint restarts and is listed with its start, which the list later omits as long ago. Its drain was then taken
 /// for that of an earlier process and ignored, so that proxies kept sending to it until it was gone.
 #[test]
--- a/crates/dns/src/zone_follower.rs
+++ b/crates/dns/src/zone_follower.rs
@@ -202,6 +202,7 @@
     let ZoneEndpoint { address, zone, kind, weight, serving_state, started } = endpoint;
     Entry {
         incarnation: Incarnation { started, created },
+        cold_since: None,
         address: Some(address),
         zone,
         kind,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,6 +14,7 @@
 //! let incarnation = Incarnation { started: None, created: Revision(3) };
 //! let entry = Entry {
 //!     incarnation,
+//!     cold_since: None,
 //!     address: None,
 //!     zone: ZoneId(0),
 //!     kind: 0,
@@ -48,6 +49,7 @@
 
 #![warn(missing_docs)]
 
+mod appearance;
 mod changes;
 mod counts;
 mod listings;
--- a/crates/membership/src/listings.rs
+++ b/crates/membership/src/listings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::appearance::Appearance;
 use crate::message::{Entry, Epoch, Revision};
 use crate::serving_state::ServingState;
 use crate::source::SourceId;
@@ -22,6 +23,8 @@
     pub revision: Revision,
     /// The latest time at which the process can have started, if the entry has no start time.
     pub started_by: Duration,
+    /// When the process appeared; `None` if the source listed it from the beginning.
+    pub appearance: Option<Box<Appearance>>,
     /// The entry, shared with the published state of the name.
     pub entry: Arc<Entry>,
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::appearance::Departures;
 use crate::changes::{Change, Changes};
 use crate::counts::Counts;
 use crate::listings::Listing;
@@ -34,6 +35,7 @@
     /// The records by endpoint name. The map is unordered: changes are sorted before publishing where the order matters.
     records: HashMap<Arc<str>, Record>,
     tombstones: Tombstones,
+    departures: Departures,
     publish_queue: PublishQueue,
     /// Counts of the ignored, delayed and discarded items since the start.
     pub counts: Counts,
@@ -44,6 +46,8 @@
 struct Origin {
     source: SourceId,
     epoch: Epoch,
+    /// Whether the source has sent a message of this epoch before.
+    continues_epoch: bool,
 }
 
 impl Membership {
@@ -54,6 +58,7 @@
             sources: Vec::new(),
             records: HashMap::new(),
             tombstones: Tombstones::default(),
+            departures: Departures::default(),
             publish_queue: PublishQueue::default(),
             counts: Counts::default(),
         }
@@ -102,7 +107,8 @@
         let previous = self.source_mut(source).position.replace(position);
         let begins_epoch = previous.is_some_and(|previous| previous.epoch != position.epoch);
         self.counts.new_epochs += usize::from(begins_epoch);
-        let origin = Origin { source, epoch: position.epoch };
+        let continues_epoch = previous.is_some_and(|previous| previous.epoch == position.epoch);
+        let origin = Origin { source, epoch: position.epoch, continues_epoch };
         let changes = match message {
             SourceMessage::Progress { .. } => None,
             SourceMessage::Snapshot { entries, .. } => self.apply_snapshot(now, origin, entries),
@@ -203,55 +209,76 @@
         name: &Arc<str>,
         entry: Entry,
     ) {
-        let Origin { source, epoch } = origin;
+        let Origin { source, epoch, .. } = origin;
         let settings = &self.source(source).settings;
         let return_policy = settings.return_policy;
         let started_by = now.saturating_sub(settings.start_omitted_after);
         let entry = Arc::new(entry);
-        let listing = Listing { source, blocked: false, epoch, revision, started_by, entry };
+        let listing =
+            Listing { source, blocked: false, epoch, revision, started_by, appearance: None, entry };
         match return_policy {
-            ReturnPolicy::Always => self.replace_listing(now, name, listing),
+            ReturnPolicy::Always => self.replace_listing(now, origin, name, listing),
             _ if self.is_older_than_known(origin, revision, name) => self.counts.stale += 1,
             ReturnPolicy::UnlessDrained | ReturnPolicy::NewIncarnationOnly => {
-                self.succeed_listing(now, name, listing, return_policy)
+                self.succeed_listing(now, origin, name, listing)
             }
         }
     }
 
     /// Stores a listing as it is. Only a start time that it omits stays as it was known.
-    fn replace_listing(&mut self, now: Duration, name: &Arc<str>, mut listing: Listing) {
-        if let Some(known) = self.listing(listing.source, name)
-            && !known.has_impossible_start(now)
-        {
-            listing.inherit_start(known);
+    fn replace_listing(&mut self, now: Duration, origin: Origin, name: &Arc<str>, mut listing: Listing) {
+        let started = listing.entry.incarnation.started;
+        match self.listing(origin.source, name) {
+            Some(known) if started.is_none() || started == known.entry.incarnation.started => {
+                listing.inherit_start(known);
+            }
+            Some(known) => listing.appear(now, known.entry.incarnation.started),
+            None => self.begin_listing(now, origin, name, &mut listing),
         }
         self.insert_listing(name, listing);
     }
 
+    /// Decides since when a process counts as started that its source did not list before. It may be the process that had
+    /// the name when the source last listed it, or one that replaced it.
+    fn begin_listing(&mut self, now: Duration, origin: Origin, name: &Arc<str>, listing: &mut Listing) {
+        let departed = self.departures.take(origin.source, name);
+        let started = listing.entry.incarnation.started;
+        match departed.map(|departed| (departed.entry.incarnation.started, departed)) {
+            Some((departed_start, departed)) if departed_start == started => {
+                listing.inherit_start(&departed);
+            }
+            Some((departed_start, _)) => listing.appear(now, departed_start),
+            // Direct sources list a process when it starts, others whenever an operator has added it.
+            None if origin.continues_epoch && self.source(origin.source).is_direct() => {
+                listing.appear(now, None)
+            }
+            None => listing.correct_future_start(now),
+        }
+    }
+
     /// Stores a listing according to the process that it describes. A draining endpoint stays draining within its incarnation,
     /// and the listing is blocked if its incarnation has ended.
-    fn succeed_listing(
-        &mut self,
-        now: Duration,
-        name: &Arc<str>,
-        mut listing: Listing,
-        return_policy: ReturnPolicy,
-    ) {
+    fn succeed_listing(&mut self, now: Duration, origin: Origin, name: &Arc<str>, mut listing: Listing) {
+        let return_policy = self.source(origin.source).settings.return_policy;
         let known = self.listing(listing.source, name);
-        match known.map(|known| (known, known.succession(now, &listing))) {
+        match known.map(|known| (known, known.succession(&listing))) {
             Some((known, Succession::Earlier)) if return_policy == ReturnPolicy::UnlessDrained => {
-                let successor_started = known.entry.incarnation.started;
+                let successor_started = known.entry.incarnation.started.map(|started| started.min(now));
                 self.ignore_superseded(now, name, &listing, successor_started);
                 return;
             }
             Some((known, Succession::Same)) => listing.inherit(known),
             // The name is still listed, but for another incarnation.
-            Some(_) => self.remove_listing(now, listing.source, name),
-            None => {}
+            Some((known, _)) => {
+                listing.appear(now, known.entry.incarnation.started);
+                self.remove_listing(now, origin.source, name);
+                self.departures.take(origin.source, name);
+            }
+            None => self.begin_listing(now, origin, name, &mut listing),
         }
         listing.blocked |= self.tombstones.blocks(name, &listing.listed_incarnation());
         if let (false, Some(started)) = (listing.blocked, listing.entry.incarnation.started) {
-            self.tombstones.record_successor(name, started);
+            self.tombstones.record_successor(name, started.min(now));
         }
         self.counts.blocked += usize::from(listing.blocked);
         self.insert_listing(name, listing);
@@ -295,6 +322,7 @@
         let Some(listing) = record.listings.remove(source) else { return };
         let source = &mut self.sources[source.0 as usize];
         source.listed -= 1;
+        self.departures.insert(now, name, listing.clone());
         let drained = listing.is_draining();
         let ends = match source.settings.return_policy {
             ReturnPolicy::Always => false,
@@ -360,6 +388,7 @@
 
     fn discard_tombstones(&mut self, now: Duration) {
         self.counts.discarded_tombstones += self.tombstones.discard(now, &self.tombstone_limits);
+        self.departures.discard(now, &self.tombstone_limits);
     }
 
     fn listing(&self, source: SourceId, name: &str) -> Option<&Listing> {
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -47,6 +47,9 @@
 pub struct Entry {
     /// The process that uses the name.
     pub incarnation: Incarnation,
+    /// Since when the process counts as warming up, if its start time cannot be true. [`Membership`](crate::Membership)
+    /// sets it; sources leave it at `None`.
+    pub cold_since: Option<Duration>,
     /// The address that the endpoint listens on, if the source gives it.
     pub address: Option<SocketAddr>,
     /// The zone of the endpoint.
@@ -60,6 +63,11 @@
 }
 
 impl Entry {
+    /// Returns when the process is taken to have started, since 1970; `None` if that is unknown or long ago.
+    pub fn started_at(&self) -> Option<Duration> {
+        self.cold_since.or(self.incarnation.started)
+    }
+
     /// Whether the endpoint may receive new requests.
     pub fn is_running(&self) -> bool {
         self.serving_state == ServingState::Running
--- a/crates/membership/src/succession.rs
+++ b/crates/membership/src/succession.rs
@@ -2,11 +2,9 @@
 //! earlier one, and what the entry takes over from the known listing.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::listings::Listing;
 use crate::serving_state::ServingState;
-use crate::start_time::StartOrder;
 
 /// Which process a new listing describes, compared with the known listing of the same source and name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,46 +18,55 @@
 }
 
 impl Listing {
-    /// Returns which process `new` describes. All start times come from the same clock, so a later start belongs to a later
-    /// process. A start time that the source omits after it has given one belongs to the same process, as time alone
-    /// explains the omission, unless `new` may come from an outdated list and the known process started too recently.
-    pub fn succession(&self, now: Duration, new: &Listing) -> Succession {
+    /// Returns which process `new` describes. Only revisions of one epoch show which of two entries is newer; start times do
+    /// not, as wall clocks may be stepped.
+    pub fn succession(&self, new: &Listing) -> Succession {
+        if self.entry.incarnation == new.entry.incarnation {
+            Succession::Same
+        } else if self.epoch == new.epoch {
+            self.succession_in_same_history(new)
+        } else {
+            self.succession_in_other_history(new)
+        }
+    }
+
+    /// Revisions of one epoch are ordered, and older ones are ignored before, so `new` is the newer entry. A start time that
+    /// the source omits after it has given one belongs to the same process, as time alone explains the omission.
+    fn succession_in_same_history(&self, new: &Listing) -> Succession {
+        let (known, listed) = (self.entry.incarnation, new.entry.incarnation);
+        let omits_start = known.started.is_some() && listed.started.is_none();
+        if omits_start && known.created == listed.created { Succession::Same } else { Succession::Later }
+    }
+
+    /// The list of another epoch may be outdated, but not by more than `new.started_by` allows for: it may describe an
+    /// earlier process only if the known one started after that.
+    fn succession_in_other_history(&self, new: &Listing) -> Succession {
         let (known, listed) = (self.entry.incarnation, new.entry.incarnation);
-        // Revisions of one epoch are ordered, and older ones are ignored before. Those of two epochs cannot be compared.
-        let is_newer = self.epoch == new.epoch;
-        let is_registered_again = is_newer && known.created != listed.created;
-        match new.start_time().compare(self.start_time()) {
-            _ if known == listed => Succession::Same,
-            _ if self.has_impossible_start(now) => Succession::Later,
-            StartOrder::Earlier if listed.started.is_some() || !is_newer => Succession::Earlier,
-            _ if is_registered_again => Succession::Later,
-            StartOrder::Earlier => Succession::Same,
+        let is_recent = self.started_after(new.started_by);
+        match (known.started, listed.started) {
+            (Some(_), Some(start)) if self.succeeds(start) => Succession::Earlier,
+            (Some(known_start), Some(start)) if start < known_start && is_recent => Succession::Earlier,
+            (Some(_), None) if is_recent => Succession::Earlier,
             // In another history of a registry, an entry at another address may be of an ended process.
-            StartOrder::Unknown if known.started.is_some() => {
-                let may_have_ended = !is_newer && known.tells_creation();
-                let has_moved = new.entry.address != self.entry.address;
-                if may_have_ended && has_moved { Succession::Later } else { Succession::Same }
+            (Some(_), None) if known.tells_creation() && new.entry.address != self.entry.address => {
+                Succession::Later
             }
+            (Some(_), None) => Succession::Same,
             // The known process may have been listed with its start time before this controller learnt of it.
-            StartOrder::Unknown
-                if listed.started.is_some()
-                    && !is_newer
-                    && (self.is_draining() || known.created == listed.created) =>
+            (None, Some(start))
+                if start <= self.started_by && (self.is_draining() || known.created == listed.created) =>
             {
                 Succession::Same
             }
-            StartOrder::Unknown | StartOrder::Same | StartOrder::Later => Succession::Later,
+            _ => Succession::Later,
         }
     }
 
-    /// Whether the start time is in the future. It cannot be true, so any other one corrects it.
-    pub fn has_impossible_start(&self, now: Duration) -> bool {
-        self.entry.incarnation.started > Some(now)
-    }
-
     /// Takes over what is known of the same process: its start time, that it drains, and that it has ended.
     pub fn inherit(&mut self, known: &Listing) {
-        self.inherit_start(known);
+        if known.entry.incarnation.started.is_some() {
+            self.inherit_start(known);
+        }
         self.blocked = known.blocked;
         self.started_by = known.started_by;
         if known.is_draining() && !self.is_draining() {
@@ -67,14 +74,6 @@
         }
     }
 
-    /// Takes over the known start time if the entry has none.
-    pub fn inherit_start(&mut self, known: &Listing) {
-        let known_start = known.entry.incarnation.started;
-        if self.entry.incarnation.started.is_none() && known_start.is_some() {
-            Arc::make_mut(&mut self.entry).incarnation.started = known_start;
-        }
-    }
-
     pub fn is_draining(&self) -> bool {
         self.entry.serving_state == ServingState::Draining
     }
--- a/crates/membership/src/tombstones.rs
+++ b/crates/membership/src/tombstones.rs
@@ -57,9 +57,9 @@
         same_start && same_creation && ended.shares_history_with(other_ended)
     }
 
-    /// Whether a listed entry may belong to this incarnation or an earlier one. A later start time proves a new
-    /// incarnation, and so does a start time that the source has not given before, in the same history. A new registration
-    /// proves one too, unless the ended incarnation was drained and may be the listed one: both start times are given and
+    /// Whether a listed entry may belong to this incarnation or an earlier one. In the same history any other start time
+    /// proves a new incarnation, as the entry is the newer one; an earlier incarnation that ended has a tombstone of its own.
+    /// In another history only a later start time does. A new registration proves one too, unless the ended incarnation was drained and may be the listed one: both start times are given and
     /// equal, or only one is given and nothing else shows which of them is older.
     pub fn blocks(&self, listed: &ListedIncarnation) -> bool {
         let ended = &self.ended;
@@ -71,7 +71,7 @@
         let only_one_start = gives_start != ended.start_time.is_given();
         let may_be_drained = match listed.start_time.compare(ended.start_time) {
             StartOrder::Later => return false,
-            StartOrder::Unknown if only_one_start && gives_start && same_history => return false,
+            StartOrder::Unknown | StartOrder::Earlier if gives_start && same_history => return false,
             StartOrder::Unknown => only_one_start && !same_history,
             StartOrder::Same => true,
             StartOrder::Earlier => false,
--- a/crates/membership/tests/memory.rs
+++ b/crates/membership/tests/memory.rs
@@ -49,6 +49,7 @@
     let address = Some(([10, 1, (index >> 8) as u8, index as u8], 9000).into());
     Entry {
         incarnation,
+        cold_since: None,
         address,
         zone: ZoneId(index as u32 % 3),
         kind: 0,
--- a/crates/registry/src/consul/instance.rs
+++ b/crates/registry/src/consul/instance.rs
@@ -122,6 +122,7 @@
         let weight = parse_number("weight", metadata.weight)?.unwrap_or(default_weight);
         Ok(Entry {
             incarnation: Incarnation { started, created: Revision(service.create_index) },
+            cold_since: None,
             address: Some(SocketAddr::new(ip, service.port)),
             zone,
             kind: topology.kind(kind.as_deref()),
--- a/crates/registry/src/etcd/value.rs
+++ b/crates/registry/src/etcd/value.rs
@@ -31,6 +31,7 @@
         let serving_state = ServingState::from_name(self.state.as_deref())?;
         Ok(Entry {
             incarnation: Incarnation { started: start_time(self.started_ms)?, created },
+            cold_since: None,
             address: Some(self.address),
             zone: zone(&self.zone, topology)?,
             kind: topology.kind(self.kind.as_deref()),
--- a/crates/registry/tests/follower/model.rs
+++ b/crates/registry/tests/follower/model.rs
@@ -50,6 +50,7 @@
         let incarnation = Incarnation { started: None, created: Revision(self.revision() + 1) };
         let entry = Entry {
             incarnation,
+            cold_since: None,
             address: None,
             zone: ZoneId(0),
             kind: 0,
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -154,13 +154,12 @@
     }
 
     fn listed_update(&mut self, name: &str, entry: &Entry) -> EndpointUpdate {
-        let started = entry.incarnation.started;
         EndpointUpdate {
-            endpoint: self.endpoint_ids.assign(name, entry.address, started),
+            endpoint: self.endpoint_ids.assign(name, entry.address, entry.incarnation.started),
             zone: entry.zone,
             machine_kind: entry.kind,
             weight: entry.weight,
-            started_at: started,
+            started_at: entry.started_at(),
             state: match entry.serving_state {
                 ServingState::Running => EndpointState::Running,
                 ServingState::OutOfRotation | ServingState::Draining => EndpointState::Draining,
--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -21,6 +21,7 @@
 //! let mut subset = Subset::new(settings);
 //! let entry = Entry {
 //!     incarnation: Incarnation { started: None, created: Revision(0) },
+//!     cold_since: None,
 //!     address: None,
 //!     zone: ZoneId(0),
 //!     kind: 0,
--- a/crates/subset/src/subset.rs
+++ b/crates/subset/src/subset.rs
@@ -208,7 +208,7 @@
     fn update_warm_up(&mut self, now: Duration, slot: u32) {
         let warm_up = self.settings.warm_up;
         let record = self.records.get_mut(slot);
-        let started = record.running().and_then(|entry| entry.incarnation.started);
+        let started = record.running().and_then(Entry::started_at);
         let warm_at = started.map(|started| started.saturating_add(warm_up));
         let cold_until = warm_at.filter(|warm_at| *warm_at > now);
         let before = std::mem::replace(&mut record.cold_until, cold_until);
--- a/crates/subset/tests/support/mod.rs
+++ b/crates/subset/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub fn entry(zone: u32, started: Option<Duration>) -> Entry {
     Entry {
         incarnation: Incarnation { started, created: Revision(0) },
+        cold_since: None,
         address: None,
         zone: ZoneId(zone),
         kind: 0,
