Collectors: release the memory of a large frame once it is handled

Cause: the buffer was shrunk when the next frame began, and its reservation given back once the frame was read. Memory that was held counted as free.

Change: the reservation is held until the frame is handled, and the buffer is shrunk then.

Evidence: flooding::large_reports_leave_no_memory_with_collectors_that_stay failed on the text before (39,686,144 bytes, limit 33,554,432) and passes. collectors_that_stop_half_way_through_large_reports_take_little_memory, 200 connections in the middle of large and small frames, passed before too.

--- a/crates/controller/src/collectors/connection.rs
+++ b/crates/controller/src/collectors/connection.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::connection_limit::{ConnectionPermit, RETAINED_BUFFER_BYTES};
+use super::connection_limit::{ConnectionPermit, FrameReservation, RETAINED_BUFFER_BYTES};
 use super::frame::{self, ALIVE_FRAME, CollectorMessage};
 use crate::counters;
 use crate::known_names::KnownNames;
@@ -85,6 +85,8 @@
     known_names: Rc<KnownNames>,
     inbox: Inbox,
     buffer: Vec<u8>,
+    /// The memory of the frame in the buffer, if it is large. It is held until the buffer is released.
+    reservation: Option<FrameReservation>,
     consecutive_rejections: u32,
 }
 
@@ -97,8 +99,16 @@
         known_names: Rc<KnownNames>,
         inbox: Inbox,
     ) -> CollectorConnection {
-        let buffer = Vec::new();
-        CollectorConnection { stream, peer, permit, known_names, inbox, buffer, consecutive_rejections: 0 }
+        CollectorConnection {
+            stream,
+            peer,
+            permit,
+            known_names,
+            inbox,
+            buffer: Vec::new(),
+            reservation: None,
+            consecutive_rejections: 0,
+        }
     }
 
     /// Serves the connection until it ends. Returns `Ok` if the peer closed it between two frames.
@@ -109,6 +119,7 @@
         while has_frame {
             counters::FRAMES_READ.add(1);
             self.handle_frame().await?;
+            self.end_frame();
             has_frame = self.read_frame().await?;
         }
         Ok(())
@@ -134,11 +145,10 @@
         if !self.permit.allows(length) {
             return Err(ConnectionError::FrameTooLong { length });
         }
-        let Some(_reservation) = self.permit.reserve(length) else {
+        let Some(reservation) = self.permit.reserve(length) else {
             return Err(ConnectionError::NoMemoryForFrame { length });
         };
-        self.buffer.clear();
-        self.buffer.shrink_to(RETAINED_BUFFER_BYTES);
+        self.reservation = Some(reservation);
         // The buffer grows with the bytes received, so that a large length without a body costs no memory.
         let mut body = (&mut self.stream).take(u64::from(length));
         let read = body.read_to_end(&mut self.buffer).await?;
@@ -148,6 +158,13 @@
         Ok(())
     }
 
+    /// Releases the memory of the frame in the buffer.
+    fn end_frame(&mut self) {
+        self.buffer.clear();
+        self.buffer.shrink_to(RETAINED_BUFFER_BYTES);
+        self.reservation = None;
+    }
+
     /// Decodes the frame in the buffer and handles its message.
     async fn handle_frame(&mut self) -> Result<(), ConnectionError> {
         let decoded = frame::decode(&self.buffer, &self.known_names);
