Collectors: pace the decoding of large frames, and give other connections their turn

Cause: such a frame takes 3.8 ms to decode, and the program has one thread. Of twenty connections each had the next frame ready; sockets are looked at once in 61 tasks, so each step of another connection or of the drain waited for up to 61 frames.

A connection that has handled 16 KiB of frames lets the others go on, after which sockets are looked at. New counter: large frames held back.

Evidence: flooding::reports_of_very_many_fields_delay_no_probe_and_no_drain (a probe within 1 s, the drain within its grace) failed on the text before and passes.

--- a/crates/controller/src/collectors.rs
+++ b/crates/controller/src/collectors.rs
@@ -6,6 +6,7 @@
 
 mod connection;
 mod connection_limit;
+mod decode_schedule;
 mod frame;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use crate::startup::ResourceLimits;
 use connection::CollectorConnection;
 use connection_limit::{ConnectionLimit, ConnectionPermit};
+use decode_schedule::DecodeSchedule;
 
 /// The delay after a failed accept. The likely reason is a lack of file descriptors, and some are released soon.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -40,13 +42,14 @@
     inbox: Inbox,
 ) {
     let limit = ConnectionLimit::new(limits);
+    let schedule = Rc::new(DecodeSchedule::new());
     loop {
         let accepted = accept(&listener).await;
         counters::CONNECTIONS_ACCEPTED.add(1);
         limit.make_room_for_unidentified();
         let permit = limit.permit();
         let id = permit.id();
-        let task = spawn_local(serve(accepted, permit, known_names.clone(), inbox.clone()));
+        let task = spawn_local(serve(accepted, permit, schedule.clone(), known_names.clone(), inbox.clone()));
         limit.add_unidentified(id, task.abort_handle());
         // Lets a connection that was just evicted close, and the new one start to read, before the next accept.
         yield_now().await;
@@ -73,11 +76,12 @@
 async fn serve(
     accepted: AcceptedConnection,
     permit: ConnectionPermit,
+    schedule: Rc<DecodeSchedule>,
     known_names: Rc<KnownNames>,
     inbox: Inbox,
 ) {
     let AcceptedConnection { stream, peer } = accepted;
-    let mut connection = CollectorConnection::new(stream, peer, permit, known_names, inbox);
+    let mut connection = CollectorConnection::new(stream, peer, permit, schedule, known_names, inbox);
     let Err(error) = connection.run().await else { return };
     let closed_connections = if error.is_timeout() {
         &counters::CONNECTIONS_CLOSED_SILENT
--- a/crates/controller/src/collectors/connection.rs
+++ b/crates/controller/src/collectors/connection.rs
@@ -9,9 +9,11 @@
 use dahliaroad_runtime::{Inbox, Input, UnknownEndpoint};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::connection_limit::{ConnectionPermit, FrameReservation, RETAINED_BUFFER_BYTES};
+use super::decode_schedule::DecodeSchedule;
 use super::frame::{self, ALIVE_FRAME, CollectorMessage};
 use crate::counters;
 use crate::known_names::KnownNames;
@@ -28,6 +30,8 @@
 /// The maximum number of consecutive rejected messages of a collector. One more closes the connection; a valid report resets
 /// the count.
 const MAX_CONSECUTIVE_REJECTIONS: u32 = 32;
+/// The number of bytes of frames that a connection handles before the others get a turn.
+const BYTES_PER_TURN: usize = 16 << 10;
 
 /// Why the controller closed a connection. Messages show the peer's bytes truncated and escaped.
 #[derive(Debug, thiserror::Error)]
@@ -82,11 +86,13 @@
     stream: TcpStream,
     peer: SocketAddr,
     permit: ConnectionPermit,
+    schedule: Rc<DecodeSchedule>,
     known_names: Rc<KnownNames>,
     inbox: Inbox,
     buffer: Vec<u8>,
     /// The memory of the frame in the buffer, if it is large. It is held until the buffer is released.
     reservation: Option<FrameReservation>,
+    bytes_in_turn: usize,
     consecutive_rejections: u32,
 }
 
@@ -96,6 +102,7 @@
         stream: TcpStream,
         peer: SocketAddr,
         permit: ConnectionPermit,
+        schedule: Rc<DecodeSchedule>,
         known_names: Rc<KnownNames>,
         inbox: Inbox,
     ) -> CollectorConnection {
@@ -103,10 +110,12 @@
             stream,
             peer,
             permit,
+            schedule,
             known_names,
             inbox,
             buffer: Vec::new(),
             reservation: None,
+            bytes_in_turn: 0,
             consecutive_rejections: 0,
         }
     }
@@ -118,8 +127,9 @@
         let mut has_frame = first.map_err(io::Error::from)??;
         while has_frame {
             counters::FRAMES_READ.add(1);
+            self.schedule.wait_for_turn(self.buffer.len()).await;
             self.handle_frame().await?;
-            self.end_frame();
+            self.end_frame().await;
             has_frame = self.read_frame().await?;
         }
         Ok(())
@@ -158,11 +168,16 @@
         Ok(())
     }
 
-    /// Releases the memory of the frame in the buffer.
-    fn end_frame(&mut self) {
+    /// Releases the memory of the frame in the buffer. Lets other connections go on after [`BYTES_PER_TURN`].
+    async fn end_frame(&mut self) {
+        self.bytes_in_turn += self.buffer.len();
         self.buffer.clear();
         self.buffer.shrink_to(RETAINED_BUFFER_BYTES);
         self.reservation = None;
+        if self.bytes_in_turn >= BYTES_PER_TURN {
+            self.bytes_in_turn = 0;
+            yield_now().await;
+        }
     }
 
     /// Decodes the frame in the buffer and handles its message.
--- a/crates/controller/src/counters.rs
+++ b/crates/controller/src/counters.rs
@@ -11,6 +11,8 @@
     CONNECTIONS_CLOSED_BROKEN: "connections closed as broken",
     /// Frames read completely, with any content.
     FRAMES_READ: "frames taken in",
+    /// Large frames whose decoding was put off, because too many of them were read.
+    LARGE_FRAMES_DELAYED: "large frames held back",
     /// Load and demand reports of collectors that were passed to the runtime.
     LOAD_REPORTS: "sums taken in",
     /// The sum of the intervals that reports cover, in milliseconds. A rejected report is included if its request counts,
--- a/crates/controller/tests/flooding.rs
+++ b/crates/controller/tests/flooding.rs
@@ -3,9 +3,15 @@
 
 mod harness;
 
+use std::cell::Cell;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream as BlockingTcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
-use dahliaroad_demo::Fleet;
+use dahliaroad_demo::{Fleet, encode_frame};
 use harness::*;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
@@ -16,6 +22,98 @@
 const MEMORY_LIMIT: usize = 32 << 20;
 /// How long other connections' probes may wait for an answer.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(1);
+/// How long a flooding client whose connection was closed waits until it connects again.
+const RECONNECT_DELAY: Duration = Duration::from_millis(10);
+/// How long a flooding client waits for a connection that takes nothing.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Clients that write the same bytes again and again, each on a thread and a connection of its own, until they are dropped.
+/// A client whose connection is closed connects again.
+struct Flood {
+    is_over: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(count: usize, address: SocketAddr, introduction: &[u8], bytes: Vec<u8>) -> Flood {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let bytes = Arc::new(bytes);
+        let client = |_| {
+            let (is_over, introduction, bytes) = (is_over.clone(), introduction.to_vec(), bytes.clone());
+            std::thread::spawn(move || {
+                while !is_over.load(Relaxed) {
+                    let _ = flood_connection(address, &introduction, &bytes, &is_over);
+                    std::thread::sleep(RECONNECT_DELAY);
+                }
+            })
+        };
+        let clients = (0..count).map(client).collect();
+        Flood { is_over, clients }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.is_over.store(true, Relaxed);
+        for client in self.clients.drain(..) {
+            let _ = client.join();
+        }
+    }
+}
+
+/// Writes the bytes again and again until the connection or the flood ends.
+fn flood_connection(
+    address: SocketAddr,
+    introduction: &[u8],
+    bytes: &[u8],
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    let mut connection = BlockingTcpStream::connect(address)?;
+    connection.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    connection.write_all(introduction)?;
+    while !is_over.load(Relaxed) {
+        let mut rest = bytes;
+        while !rest.is_empty() && !is_over.load(Relaxed) {
+            match connection.write(rest) {
+                Ok(0) => return Ok(()),
+                Ok(count) => rest = &rest[count..],
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+    Ok(())
+}
+
+/// How long others waited during a flood.
+struct Delays {
+    longest_probe: Duration,
+    drain: Duration,
+}
+
+/// Sends probes on new connections for `duration`, and has `e0` drain after a second.
+async fn measure_delays(fleet: &Fleet, controller: &ControllerProcess, duration: Duration) -> Delays {
+    let begin = Instant::now();
+    let drain_delay = Cell::new(None);
+    let drain = async {
+        sleep(Duration::from_secs(1)).await;
+        fleet.world.set_health("e0", "leaving");
+        let listed_at = Instant::now();
+        wait_until("drained", || !is_in_any_table(fleet, "e0")).await;
+        drain_delay.set(Some(listed_at.elapsed()));
+    };
+    let longest = Cell::new(Duration::ZERO);
+    let probes = async {
+        while begin.elapsed() < duration || drain_delay.get().is_none() {
+            let sent_at = Instant::now();
+            controller.assert_alive().await;
+            longest.set(longest.get().max(sent_at.elapsed()));
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::join!(drain, probes);
+    Delays { longest_probe: longest.get(), drain: drain_delay.get().expect("the drain has ended") }
+}
 
 /// A valid report of 1 MiB that consists of short unknown fields but for a few.
 fn report_with_unknown_fields() -> Vec<u8> {
@@ -30,6 +128,10 @@
     [&(text.len() as u32).to_le_bytes(), text.as_bytes()].concat()
 }
 
+fn introduction() -> Vec<u8> {
+    encode_frame(&json!({"type": "agent", "locality": "east"}))
+}
+
 /// Returns the highest memory use of the controller so far, in bytes.
 fn peak_memory(controller: &ControllerProcess) -> usize {
     let id = controller.process.id().expect("still running");
@@ -48,6 +150,26 @@
     (fleet, controller)
 }
 
+/// Twenty collectors send valid reports of 100,000 short unknown fields as fast as they can. Each takes milliseconds to
+/// decode, one followed on the other, and sockets were looked at in between only now and then: probes of other connections
+/// and drains waited for seconds.
+#[test]
+fn reports_of_very_many_fields_delay_no_probe_and_no_drain() {
+    run_scenario(async {
+        let (fleet, controller) = start_fleet_and_controller(6).await;
+        let flood = Flood::start(20, controller.address, &introduction(), report_with_unknown_fields());
+        let delays = measure_delays(&fleet, &controller, Duration::from_secs(5)).await;
+        drop(flood);
+        assert!(
+            delays.longest_probe < MAX_PROBE_DELAY,
+            "a probe was answered after {:?}",
+            delays.longest_probe
+        );
+        assert!(delays.drain < DRAIN_GRACE, "a drain took {:?}", delays.drain);
+        assert!(controller.counter("sums taken in").await > 0);
+    });
+}
+
 /// Collectors send one report of 1 MiB each and stay. The buffer of the last frame was kept until the next one, and its
 /// memory counted as free, so that with enough collectors the process passed its limit and was killed.
 #[test]
