Discovery: a list of very many short elements is refused

Lists may have 8 MiB.

Cause: memory is taken for each element as for an entry, and each element that is no entry was logged.

Change: a list of more than 1,024 elements has 32 bytes for each on average, less than any entry with all its fields; else it cannot be read, as any other bad list: what was known stands, and it is asked for again. Of one list 16 rejected entries are logged, and all are counted.

Evidence: flooding::a_list_of_very_many_short_elements_takes_little_memory failed on the text before and passes.

--- a/crates/controller/src/discovery/endpoint_list.rs
+++ b/crates/controller/src/discovery/endpoint_list.rs
@@ -20,6 +20,14 @@
 /// The exclusive upper limit of weights and of start times in seconds in a valid list. It keeps their sums finite.
 const MAX_NUMBER: f64 = 1e12;
 
+/// The least average length of a list's elements in bytes. An entry with all its fields is longer, and memory is taken for
+/// each element as for an entry.
+const MIN_MEAN_ELEMENT_BYTES: usize = 32;
+/// The number of elements that a list may have whatever their length.
+const MAX_SHORT_ELEMENTS: usize = 1024;
+/// The number of rejected entries of one list that are logged.
+const MAX_LOGGED_ENTRIES: usize = 16;
+
 /// One response of discovery: the complete endpoint list, or the changes since an earlier revision.
 #[derive(Deserialize)]
 pub struct EndpointList {
@@ -46,6 +54,11 @@
     fn try_from(text: Box<RawValue>) -> Result<RawArray, serde_json::Error> {
         // `IgnoredAny` is zero-sized, so this count of the elements allocates nothing.
         let length = serde_json::from_str::<Vec<IgnoredAny>>(text.get())?.len();
+        if length > MAX_SHORT_ELEMENTS.max(text.get().len() / MIN_MEAN_ELEMENT_BYTES) {
+            return Err(serde::de::Error::custom(format_args!(
+                "{length} elements are too short for entries"
+            )));
+        }
         Ok(RawArray { text, length })
     }
 }
@@ -121,7 +134,10 @@
         // The full capacity is allocated up front, because growing step by step would hold a large list twice at the last
         // step.
         let mut entries = Vec::with_capacity(elements.len());
-        entries.extend(elements.iter().filter_map(|element| self.decode_entry(element, topology)));
+        let mut rejected = 0;
+        entries.extend(elements.iter().filter_map(|element| {
+            self.decode_entry(element, topology).or_else(|| self.reject_entry(element, &mut rejected))
+        }));
         let nameless = self.entries.length - entries.len();
         let unreadable = entries.iter().filter(|entry| entry.state == EntryState::Unreadable).count();
         let message = if self.complete && nameless == 0 {
@@ -137,20 +153,26 @@
 
     fn decode_entry(&self, element: &RawValue, topology: &Topology) -> Option<EntryUpdate> {
         let entry = serde_json::from_str::<ListEntry>(element.get()).ok();
-        let update = entry.and_then(|entry| entry.into_update(topology, self.revision));
-        update.or_else(|| {
+        entry.and_then(|entry| entry.into_update(topology, self.revision))
+    }
+
+    /// Logs an entry that cannot be decoded, unless many of the list were logged before. Returns the update of an entry
+    /// whose name can be read.
+    fn reject_entry(&self, element: &RawValue, rejected: &mut usize) -> Option<EntryUpdate> {
+        if *rejected < MAX_LOGGED_ENTRIES {
             let input = escape_for_log(element.get().as_bytes());
             tracing::warn!(
                 revision = self.revision,
                 %input,
                 "discovery: list entry rejected; last known state kept"
             );
-            let EntryName { name } = serde_json::from_str(element.get()).ok()?;
-            Some(EntryUpdate {
-                name: Arc::from(&*name),
-                revision: Revision(self.revision),
-                state: EntryState::Unreadable,
-            })
+        }
+        *rejected += 1;
+        let EntryName { name } = serde_json::from_str(element.get()).ok()?;
+        Some(EntryUpdate {
+            name: Arc::from(&*name),
+            revision: Revision(self.revision),
+            state: EntryState::Unreadable,
         })
     }
 }
--- a/crates/controller/tests/flooding.rs
+++ b/crates/controller/tests/flooding.rs
@@ -219,3 +219,21 @@
         assert!(peak < MEMORY_LIMIT, "{peak} bytes");
     });
 }
+
+/// Discovery's list has millions of elements that are no entries. Memory was taken for each as for an entry.
+#[test]
+fn a_list_of_very_many_short_elements_takes_little_memory() {
+    run_scenario(async {
+        let (fleet, controller) = start_with_memory_limit().await;
+        let elements = "1,".repeat(2 << 20);
+        let list = format!(r#"{{"seq":1000000,"whole":true,"hosts":[{elements}1]}}"#);
+        *fleet.world.response_override.borrow_mut() = Some(list);
+        fleet.world.set_health("e1", "leaving");
+        controller.wait_for_counter("watches lost", 1).await;
+        *fleet.world.response_override.borrow_mut() = None;
+        wait_until("drained", || !is_in_any_table(&fleet, "e1")).await;
+        assert!(is_in_any_table(&fleet, "e0"));
+        let peak = peak_memory(&controller);
+        assert!(peak < MEMORY_LIMIT, "{peak} bytes");
+    });
+}
