Consul client: a response of very many short elements is refused

Change: a response of more than 1,024 elements has 32 bytes for each on average; else it cannot be read.

Evidence: consul::tests::a_response_of_very_many_short_elements_is_refused, which calls what is new. No process was run with such a registry. etcd's pages (16 MiB) are decoded by prost as a whole: only suspected, and left.

--- a/crates/registry/src/consul/mod.rs
+++ b/crates/registry/src/consul/mod.rs
@@ -15,6 +15,7 @@
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::de::IgnoredAny;
 use serde_json::value::RawValue;
 use tokio::net::TcpStream;
 
@@ -23,6 +24,11 @@
 
 /// Maximum length of a response body, in bytes. Longer responses are rejected before memory is allocated for them.
 const MAX_RESPONSE_LENGTH: usize = 64 << 20;
+/// The least average length of a response's instances in bytes. An instance with all its fields is longer, and memory is
+/// taken for each element of a response as for an instance.
+const MIN_MEAN_INSTANCE_LENGTH: usize = 32;
+/// The number of instances that a response may have whatever their length.
+const MAX_SHORT_INSTANCES: usize = 1024;
 /// Maximum length of the part of an error response that is quoted, in bytes.
 const MAX_QUOTED_ERROR_LENGTH: usize = 100;
 /// Path of "Status: Get Raft Leader", a request that is cheap for the registry.
@@ -108,8 +114,7 @@
         let has_leader = headers.get("x-consul-knownleader").is_none_or(|known| known == "true");
         let leader_contact_age =
             Duration::from_millis(numeric_header(headers, "x-consul-lastcontact").unwrap_or(0));
-        let instances: Vec<&RawValue> = serde_json::from_slice(&response.body)
-            .map_err(|error| RequestError::InvalidResponse(error.to_string()))?;
+        let instances = split_instances(&response.body)?;
         let entries = instances.iter().filter_map(|instance| self.decode_instance(instance)).collect();
         Ok(BlockingSnapshot { index, has_leader, leader_contact_age, entries })
     }
@@ -130,6 +135,17 @@
     }
 }
 
+/// Splits the body of a response into its instances, which are not decoded yet.
+fn split_instances(body: &[u8]) -> Result<Vec<&RawValue>, RequestError> {
+    let invalid = |error: serde_json::Error| RequestError::InvalidResponse(error.to_string());
+    // `IgnoredAny` is zero-sized, so this count of the elements allocates nothing.
+    let count = serde_json::from_slice::<Vec<IgnoredAny>>(body).map_err(invalid)?.len();
+    if count > MAX_SHORT_INSTANCES.max(body.len() / MIN_MEAN_INSTANCE_LENGTH) {
+        return Err(RequestError::InvalidResponse(format!("{count} elements are too short for instances")));
+    }
+    serde_json::from_slice(body).map_err(invalid)
+}
+
 /// Returns the error that a response's status indicates, if any.
 fn check_status(response: &FullResponse) -> Result<(), RequestError> {
     match response.status {
--- a/crates/registry/src/consul/tests.rs
+++ b/crates/registry/src/consul/tests.rs
@@ -2,9 +2,19 @@
 
 use dahliaroad_membership::{EntryState, EntryUpdate, ServingState, Topology};
 
-use super::instance;
+use super::{instance, split_instances};
 use crate::entry::DecodedEntry;
 
+/// A response has millions of elements that are no instances. Memory was taken for each as for an instance.
+#[test]
+fn a_response_of_very_many_short_elements_is_refused() {
+    let elements = |count: usize| format!("[{}1]", "1,".repeat(count - 1));
+    assert_eq!(split_instances(elements(1024).as_bytes()).unwrap().len(), 1024);
+    assert!(split_instances(elements(1025).as_bytes()).is_err());
+    let long = format!("[{}1]", format!("\"{}\",", "x".repeat(40)).repeat(5_000));
+    assert_eq!(split_instances(long.as_bytes()).unwrap().len(), 5_001);
+}
+
 fn topology() -> Topology {
     Topology { zones: vec!["a".into(), "b".into()], kinds: vec!["m1".into()] }
 }
