Health checks: limit the head of an endpoint's response

Change: 16 KiB.

Evidence: health_checks::tests::an_answer_with_a_long_head_is_read_no_further failed without the limit (a head of 32 KiB passed) and passes.

--- a/crates/controller/src/health_checks.rs
+++ b/crates/controller/src/health_checks.rs
@@ -29,6 +29,9 @@
 /// The maximum number of checks in flight. Each check holds a descriptor, and all checks together may hold a quarter of the
 /// controller's descriptors.
 const MAX_IN_FLIGHT: usize = 128;
+/// The maximum length of what is read of a response at once, and so of its head, in bytes. All checks together may read this
+/// much for each.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 
 /// Runs the requested checks until the channel of requests is closed.
 pub async fn run(
@@ -62,7 +65,8 @@
     let Ok(Ok(stream)) = timeout(connect_timeout, TcpStream::connect(address)).await else {
         return HealthCheckOutcome::Failed;
     };
-    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+    let Ok((mut sender, connection)) = handshake.await else {
         return HealthCheckOutcome::Failed;
     };
     let request = Request::get(HEALTH_PATH).header(header::HOST, address.to_string());
@@ -95,3 +99,6 @@
         _ => HealthCheckOutcome::Failed,
     }
 }
+
+#[cfg(test)]
+mod tests;
