Health checks: drop those that waited until their endpoint's process had ended

Cause: a queued check knows the generation of its endpoint's id, but it was compared with the present one only when the outcome came back.

Change: a request carries a handle of its process, and a process that has ended is not checked.

Evidence: endpoints::no_health_check_is_sent_to_an_endpoint_that_left_while_it_waited failed on the text before (7 checks in 4 s after the endpoints had left) and passes.

--- a/crates/controller/src/health_checks.rs
+++ b/crates/controller/src/health_checks.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dahliaroad::HealthCheckOutcome;
-use dahliaroad_runtime::{HealthCheckRequest, Inbox};
+use dahliaroad_runtime::{EndpointProcess, HealthCheckRequest, Inbox};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
@@ -43,13 +43,13 @@
     // A connect time-out of zero, from settings without one, would make every check fail.
     let connect_timeout = if connect_timeout.is_zero() { RESPONSE_TIMEOUT } else { connect_timeout };
     let in_flight = Arc::new(Semaphore::new(MAX_IN_FLIGHT.min(limits.descriptors_per_use())));
-    while let Some(HealthCheckRequest { endpoint, generation, address }) = checks.recv().await {
+    while let Some(HealthCheckRequest { endpoint, process, address }) = checks.recv().await {
         let Ok(permit) = in_flight.clone().acquire_owned().await else { return };
         let inbox = inbox.clone();
         tokio::task::spawn_local(async move {
-            counters::HEALTH_CHECKS_SENT.add(1);
-            let outcome = check(address, connect_timeout).await;
+            let outcome = check_process(&process, address, connect_timeout).await;
             drop(permit);
+            let generation = process.generation();
             counters::HEALTH_CHECKS_PASSED.add(usize::from(outcome == HealthCheckOutcome::Passed));
             inbox
                 .send(Box::new(move |runtime, now| {
@@ -60,6 +60,19 @@
     }
 }
 
+/// Checks an endpoint, unless its process has ended while the check waited.
+async fn check_process(
+    process: &EndpointProcess,
+    address: SocketAddr,
+    connect_timeout: Duration,
+) -> HealthCheckOutcome {
+    if process.has_ended() {
+        return HealthCheckOutcome::Rejected;
+    }
+    counters::HEALTH_CHECKS_SENT.add(1);
+    check(address, connect_timeout).await
+}
+
 /// Checks one endpoint and returns the outcome.
 async fn check(address: SocketAddr, connect_timeout: Duration) -> HealthCheckOutcome {
     let Ok(Ok(stream)) = timeout(connect_timeout, TcpStream::connect(address)).await else {
--- a/crates/controller/tests/endpoints.rs
+++ b/crates/controller/tests/endpoints.rs
@@ -96,6 +96,43 @@
     });
 }
 
+/// Ten hung endpoints are checked one after the other, and leave the list. The checks that waited were sent to them for
+/// seconds, and held up those of other endpoints.
+#[test]
+fn no_health_check_is_sent_to_an_endpoint_that_left_while_it_waited() {
+    run_scenario(async {
+        let fleet = start_fleet(30).await;
+        let mut configuration = configuration(&fleet, fleet.world.list(None));
+        configuration["limits"]["sockets"] = 3.into();
+        let controller = ControllerProcess::start(configuration).await;
+        wait_until("all bound", || (0..4).all(|proxy| is_bound(&fleet, proxy))).await;
+        let hung: Vec<String> = (0..10).map(|number| format!("e{number}")).collect();
+        hung.iter().for_each(|name| fleet.world.set_state(name, EndpointState::Hung));
+        let mut collector = controller.connect_collector().await;
+        while fleet.world.health_checks.get() < 8 {
+            for number in 0..30 {
+                let report = json!({
+                    "type": "outcomes", "locality": "east", "endpoint": format!("e{number}"), "total": 20.0,
+                    "errors": if number < 10 { 20.0 } else { 0.0 }, "rtt": 50.0, "interval": 1000.0,
+                    "metrics": {"util": 0.3},
+                });
+                collector.write_all(&encode_frame(&report)).await.unwrap();
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        hung.iter().for_each(|name| fleet.world.set_health(name, "left"));
+        wait_until("withdrawn", || !hung.iter().any(|name| is_in_any_table(&fleet, name))).await;
+        let checks = fleet.world.health_checks.get();
+        sleep(Duration::from_secs(4)).await;
+        // One check may be on its way.
+        assert!(
+            fleet.world.health_checks.get() <= checks + 1,
+            "{} {checks}",
+            fleet.world.health_checks.get()
+        );
+    });
+}
+
 /// The platform allows three descriptors. Health checks may use a quarter of the descriptors, at least one. A
 /// quarter of three used to round down to zero, so that no health check was ever sent and a hung endpoint
 /// stayed in the tables.
--- a/crates/runtime/src/endpoint_ids.rs
+++ b/crates/runtime/src/endpoint_ids.rs
@@ -1,7 +1,9 @@
 //! The assigner's ids of endpoints.
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +18,32 @@
     /// Start time of the process, since 1970; `None` if unknown.
     started: Option<Duration>,
     /// Changes whenever the id passes to another process, and when it is released.
+    generation: Rc<Cell<u64>>,
+}
+
+impl Record {
+    fn begin_generation(&self) {
+        self.generation.set(self.generation.get() + 1);
+    }
+}
+
+/// The process that had an endpoint's id at a certain time.
+#[derive(Clone, Debug)]
+pub struct EndpointProcess {
     generation: u64,
+    current_generation: Rc<Cell<u64>>,
+}
+
+impl EndpointProcess {
+    /// The generation of the id at that time.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Whether the process is no longer listed, or another one has the id.
+    pub fn has_ended(&self) -> bool {
+        self.current_generation.get() != self.generation
+    }
 }
 
 /// Assigns ids to the names of endpoints and keeps the address of each. Released ids are reused, the lowest first. The ids
@@ -47,7 +74,7 @@
         let address = address.or(record.address);
         let started = started.or(record.started);
         if record.address != address || record.started != started {
-            record.generation += 1;
+            record.begin_generation();
         }
         record.address = address;
         record.started = started;
@@ -66,7 +93,12 @@
     }
 
     fn push_record(&mut self, name: &Arc<str>) -> EndpointId {
-        self.records.push(Record { name: name.clone(), address: None, started: None, generation: 0 });
+        self.records.push(Record {
+            name: name.clone(),
+            address: None,
+            started: None,
+            generation: Rc::default(),
+        });
         EndpointId(self.records.len() as u32 - 1)
     }
 
@@ -75,7 +107,7 @@
     pub fn process_ended(&mut self, endpoint: EndpointId) {
         let record = &mut self.records[endpoint.0 as usize];
         record.started = None;
-        record.generation += 1;
+        record.begin_generation();
     }
 
     /// Releases the id of an endpoint; it may then be assigned to another name. Panics if the id was never assigned.
@@ -84,7 +116,7 @@
         let record = &mut self.records[endpoint.0 as usize];
         record.address = None;
         record.started = None;
-        record.generation += 1;
+        record.begin_generation();
         self.by_name.remove(&record.name);
         self.released.insert(endpoint.0);
     }
@@ -102,6 +134,12 @@
     /// Returns the generation of the id. The generation changes with each process that has the id, so that the result of a
     /// health check is never attributed to a later process. Panics if the id was never assigned.
     pub fn generation(&self, endpoint: EndpointId) -> u64 {
-        self.records[endpoint.0 as usize].generation
+        self.records[endpoint.0 as usize].generation.get()
+    }
+
+    /// Returns the process that has the id now. Panics if the id was never assigned.
+    pub fn process(&self, endpoint: EndpointId) -> EndpointProcess {
+        let current_generation = self.records[endpoint.0 as usize].generation.clone();
+        EndpointProcess { generation: current_generation.get(), current_generation }
     }
 }
--- a/crates/runtime/src/event_loop.rs
+++ b/crates/runtime/src/event_loop.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Clock;
 use crate::counters;
-use crate::endpoint_ids::EndpointIds;
+use crate::endpoint_ids::{EndpointIds, EndpointProcess};
 use crate::inbox::Input;
 use crate::runtime::Runtime;
 
@@ -39,8 +39,8 @@
 pub struct HealthCheckRequest {
     /// The endpoint to check.
     pub endpoint: EndpointId,
-    /// The generation of the endpoint's id, to be returned with the outcome.
-    pub generation: u64,
+    /// The process to check. The generation of its id is to be returned with the outcome.
+    pub process: EndpointProcess,
     /// The address on which the endpoint listens.
     pub address: SocketAddr,
 }
@@ -159,8 +159,8 @@
     /// Requests a health check. Returns whether it was queued: the address must be known and the channel have room.
     fn request_health_check(&self, endpoint: EndpointId) -> bool {
         let Some(address) = self.runtime.endpoint_ids.address(endpoint) else { return false };
-        let generation = self.runtime.endpoint_ids.generation(endpoint);
-        let request = HealthCheckRequest { endpoint, generation, address };
+        let process = self.runtime.endpoint_ids.process(endpoint);
+        let request = HealthCheckRequest { endpoint, process, address };
         self.health_checks.try_send(request).is_ok()
     }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,7 +12,7 @@
 mod runtime;
 
 pub use clock::Clock;
-pub use endpoint_ids::EndpointIds;
+pub use endpoint_ids::{EndpointIds, EndpointProcess};
 pub use event_loop::{HealthCheckRequest, OrderSink, run};
 pub use inbox::{Inbox, Input};
 pub use runtime::{AppliedMessage, Runtime, UnknownEndpoint};
