Counter of the tables that are limited as all their endpoints are cold

An operator who sees requests rejected while no class is shed could not tell that a table's endpoints are all cold: the ratios that SIGUSR1 logs are those of the whole fleet. Seen in a run of the demo's tests only as a line that prints; its value is tested by no test of its own.

--- a/crates/runtime/src/counters.rs
+++ b/crates/runtime/src/counters.rs
@@ -76,6 +76,8 @@
     WITHDRAWALS_OVER_CHANNEL_BUDGET: "tables whose withdrawals wait for the channel",
     /// The lowest admission ratio of any class now, in thousandths.
     LOWEST_ADMISSION_PERMILLE: "thousandths of the class let in least",
+    /// Tables in use whose entries are all cold now, so that their proxies admit no more than these can take.
+    COLD_TABLES: "tables limited as all their endpoints are cold",
     /// Batches of endpoint updates that were passed to the assigner. A complete list is one batch. Each batch of changes is
     /// one, including those that the subset itself makes as time passes or endpoints are ejected.
     ENDPOINT_LISTS: "lists taken in",
--- a/crates/runtime/src/reporting.rs
+++ b/crates/runtime/src/reporting.rs
@@ -23,6 +23,7 @@
         counters::WITHDRAWALS_OVER_CHANNEL_BUDGET.set(channel_budget);
         let lowest_admission = self.assigner.admission_ratios().iter().copied().fold(1.0, f64::min);
         counters::LOWEST_ADMISSION_PERMILLE.set((lowest_admission * 1000.0) as usize);
+        counters::COLD_TABLES.set(self.assigner.cold_tables());
         counters::READY_ENDPOINTS.set(self.subset().ready_count());
         counters::STEERED_ENDPOINTS.set(self.subset().steered_count());
     }
--- a/src/cold_tables.rs
+++ b/src/cold_tables.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Returns the number of tables in use whose admission is limited because all their entries are cold.
+    pub fn cold_tables(&self) -> usize {
+        let is_limited =
+            |&table: &usize| self.is_used(table) && self.tables[table].admission_limits.is_some();
+        (0..self.tables.len()).filter(is_limited).count()
+    }
+
     pub(crate) fn is_cold(&self, endpoint: usize) -> bool {
         self.age(endpoint) < self.deployment.warm_up
     }
--- a/src/publication.rs
+++ b/src/publication.rs
@@ -99,7 +99,8 @@
         self.publish_oldest(may_publish)
     }
 
-    fn is_used(&self, table: usize) -> bool {
+    /// Whether any known proxy is in the table's shard.
+    pub(crate) fn is_used(&self, table: usize) -> bool {
         !self.shards.members[self.shards.shard_of_table(table)].is_empty()
     }
 
