--- a/crates/membership/src/appearance.rs
+++ b/crates/membership/src/appearance.rs
@@ -99,6 +99,27 @@
         self.by_name.remove(&(source, name.clone())).map(|departure| departure.listing)
     }
 
+    /// Decides since when a process counts as started that its source did not list before. It may be the process that had
+    /// the name when the source last listed it, or one that replaced it. `announces_starts` says whether the source lists
+    /// other processes when they start.
+    pub fn begin_listing(
+        &mut self,
+        now: Duration,
+        name: &Arc<str>,
+        listing: &mut Listing,
+        announces_starts: bool,
+    ) {
+        let started = listing.entry.incarnation.started;
+        match self.take(listing.source, name) {
+            Some(departed) if departed.entry.incarnation.started == started => {
+                listing.inherit_start(&departed);
+            }
+            Some(departed) => listing.appear(now, departed.entry.incarnation.started),
+            None if announces_starts => listing.appear(now, None),
+            None => listing.correct_future_start(now),
+        }
+    }
+
     /// Discards the departures beyond the limits, the oldest first.
     pub fn discard(&mut self, now: Duration, limits: &TombstoneLimits) {
         while let Some((left_at, _, _)) = self.by_age.front() {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -238,22 +238,11 @@
         self.insert_listing(name, listing);
     }
 
-    /// Decides since when a process counts as started that its source did not list before. It may be the process that had
-    /// the name when the source last listed it, or one that replaced it.
+    /// Completes a listing of a name that its source did not list before.
     fn begin_listing(&mut self, now: Duration, origin: Origin, name: &Arc<str>, listing: &mut Listing) {
-        let departed = self.departures.take(origin.source, name);
-        let started = listing.entry.incarnation.started;
-        match departed.map(|departed| (departed.entry.incarnation.started, departed)) {
-            Some((departed_start, departed)) if departed_start == started => {
-                listing.inherit_start(&departed);
-            }
-            Some((departed_start, _)) => listing.appear(now, departed_start),
-            // Direct sources list a process when it starts, others whenever an operator has added it.
-            None if origin.continues_epoch && self.source(origin.source).is_direct() => {
-                listing.appear(now, None)
-            }
-            None => listing.correct_future_start(now),
-        }
+        // Direct sources list a process when it starts, others whenever an operator has added it.
+        let announces_starts = origin.continues_epoch && self.source(origin.source).is_direct();
+        self.departures.begin_listing(now, name, listing, announces_starts);
     }
 
     /// Stores a listing according to the process that it describes. A draining endpoint stays draining within its incarnation,
--- a/src/cold_tables.rs
+++ b/src/cold_tables.rs
@@ -54,13 +54,18 @@
         self.age(endpoint) < self.deployment.warm_up
     }
 
+    /// Returns the endpoints that a table has entries for.
+    fn entries_of(&self, table: usize) -> impl Iterator<Item = usize> {
+        let weights = self.tables[table].weights.iter().enumerate();
+        weights.filter(|(_, weight)| **weight > 0.0).map(|(endpoint, _)| endpoint)
+    }
+
     fn has_entries(&self, table: usize) -> bool {
-        self.tables[table].weights.iter().any(|weight| *weight > 0.0)
+        self.entries_of(table).next().is_some()
     }
 
     fn is_cold_table(&self, table: usize) -> bool {
-        let entries = self.tables[table].weights.iter().enumerate().filter(|(_, weight)| **weight > 0.0);
-        self.has_entries(table) && entries.into_iter().all(|(endpoint, _)| self.is_cold(endpoint))
+        self.has_entries(table) && self.entries_of(table).all(|endpoint| self.is_cold(endpoint))
     }
 
     /// Returns, by table, its requests per second, or what its proxies usually bring if that is more: proxies
@@ -108,10 +113,9 @@
     /// Returns the ratio of a table's requests that none of its endpoints would be overloaded by. It is above
     /// 1 if the endpoints could take more.
     fn admissible_ratio(&self, table: usize, loads: &[f64], capacities: &[f64]) -> f64 {
-        let entries = self.tables[table].weights.iter().enumerate().filter(|(_, weight)| **weight > 0.0);
-        let ratios = entries.map(|(endpoint, _)| {
-            CAPACITY_MARGIN * capacities[endpoint] / loads[endpoint].max(f64::MIN_POSITIVE)
-        });
+        let ratios = self
+            .entries_of(table)
+            .map(|endpoint| CAPACITY_MARGIN * capacities[endpoint] / loads[endpoint].max(f64::MIN_POSITIVE));
         ratios.fold(f64::INFINITY, f64::min)
     }
 
