Soak: messages are counted from a proxy's joining, as the platform counts them

The trace of proxy 1, in ms: after the restart of the controller at 6301, messages at 6305, 6407, 6508, 6812, 7420, 8333, 10061; it leaves at 10470 and joins again by 11159; messages at 11187, 11229, 12390, 13400, 14412, 15423.

The check summed them. It now ends a span where the proxy joins again; a span within one joining is checked as before.

--- a/crates/controller/tests/soak/playback.rs
+++ b/crates/controller/tests/soak/playback.rs
@@ -140,10 +140,11 @@
     }
 
     fn return_proxies(&self) {
-        let fleet = self.fleet.clone();
+        let (fleet, monitor) = (self.fleet.clone(), self.monitor.clone());
         spawn_local(async move {
             for proxy in 0..PROXIES {
                 if !fleet.world.proxies.borrow()[&proxy].joined {
+                    monitor.proxy_rejoins(proxy);
                     fleet.world.join(proxy, zone(proxy), 10.0);
                 }
                 sleep(Duration::from_millis(20)).await;
--- a/crates/controller/tests/soak/rule_monitor.rs
+++ b/crates/controller/tests/soak/rule_monitor.rs
@@ -96,6 +96,8 @@
     limits_apply_from: Cell<Instant>,
     /// The start times of the controllers. A restarted controller counts messages from zero.
     starts: RefCell<Vec<Instant>>,
+    /// When each proxy joined again after it had left.
+    rejoins: RefCell<Vec<(Instant, u32)>>,
     pub findings: RefCell<Findings>,
 }
 
@@ -107,6 +109,7 @@
             without_endpoint: RefCell::default(),
             limits_apply_from: Cell::new(Instant::now()),
             starts: RefCell::default(),
+            rejoins: RefCell::default(),
             findings: RefCell::default(),
         }
     }
@@ -209,16 +212,25 @@
         ended.values_mut().for_each(|since| *since += gap);
     }
 
+    /// Records that a proxy that had left joins now.
+    pub fn proxy_rejoins(&self, proxy: u32) {
+        self.rejoins.borrow_mut().push((Instant::now(), proxy));
+    }
+
     /// Determines the most messages that a proxy got within the span. A span does not extend over a restart
-    /// of the controller.
+    /// of the controller, nor over a new join of the proxy: the platform counts from its joining.
     pub fn count_messages(&self) {
         let delivered = self.fleet.world.delivered.borrow();
         let starts = self.starts.borrow();
         let start_count = |at: Instant| starts.iter().filter(|start| **start <= at).count();
+        let rejoins = self.rejoins.borrow();
+        let rejoin_count =
+            |proxy: u32, at: Instant| rejoins.iter().filter(|join| join.1 == proxy && join.0 <= at).count();
         let within = |from: &(Instant, u32)| {
             let follows = |(at, to): &&(Instant, u32)| {
                 *to == from.1
                     && start_count(*at) == start_count(from.0)
+                    && rejoin_count(*to, *at) == rejoin_count(from.1, from.0)
                     && *at >= from.0
                     && *at < from.0 + MESSAGES_SPAN
             };
