Cold tables: work out loads only where a table is cold, and each table's sum once

Found by reading the change again: the loads of all endpoints were worked out at every assignment, also with no cold table, and the sum of a table's weights anew for each of its entries: the square of the endpoints, for each table.

Now nothing is worked out without a cold table, and shares_of of arithmetic.rs, which retries use, serves the loads. One difference beside the cost: a table without any weight adds no load; it added an even share.

--- a/src/arithmetic.rs
+++ b/src/arithmetic.rs
@@ -50,7 +50,8 @@
     shares_of(weights).map(|share| share * (max_amplification - redistribution_ratio(share))).collect()
 }
 
-fn shares_of(weights: &[f64]) -> impl Iterator<Item = f64> {
+/// Returns the share of a table's requests that each entry receives by its weight; 0 if the table is empty.
+pub(crate) fn shares_of(weights: &[f64]) -> impl Iterator<Item = f64> {
     let sum = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
     weights.iter().map(move |weight| weight / sum)
 }
--- a/src/cold_tables.rs
+++ b/src/cold_tables.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use crate::arithmetic::{fair_rate, retry_amplification, share_of_sum};
+use crate::arithmetic::{fair_rate, retry_amplification, share_of_sum, shares_of};
 use crate::demand::Demand;
 use crate::deployment::AdmissionUnit;
 use crate::state::Assigner;
@@ -29,18 +29,24 @@
     ///
     /// A table without any entry keeps its limit: the endpoints that it lost return cold.
     pub(crate) fn limit_cold_tables(&mut self, flow_rates: &[f64], demand: &Demand) {
-        let flows = self.usual_flow_rates(flow_rates, demand);
-        let loads = self.expected_endpoint_loads(&flows);
-        let capacities = self.cold_capacities(demand);
-        for (table, flow) in flows.into_iter().enumerate() {
-            if self.is_cold_table(table) {
-                let limit = flow * self.admissible_ratio(table, &loads, &capacities);
-                self.limit_cold_table(table, flow, limit);
-            } else if self.has_entries(table) {
+        let (cold, others): (Vec<usize>, Vec<usize>) =
+            (0..self.tables.len()).partition(|&table| self.is_cold_table(table));
+        for table in others {
+            if self.has_entries(table) {
                 self.tables[table].admission_limits = None;
                 self.tables[table].limited_since = None;
             }
         }
+        if cold.is_empty() {
+            return;
+        }
+        let flows = self.usual_flow_rates(flow_rates, demand);
+        let loads = self.expected_endpoint_loads(&flows);
+        let capacities = self.cold_capacities(demand);
+        for table in cold {
+            let limit = flows[table] * self.admissible_ratio(table, &loads, &capacities);
+            self.limit_cold_table(table, flows[table], limit);
+        }
     }
 
     /// Returns the number of tables in use whose admission is limited because all their entries are cold.
@@ -87,8 +93,8 @@
             let weights = &self.tables[table].weights;
             let failure_ratio = |endpoint: usize| self.endpoints[endpoint].health.failure_ratio();
             let attempts = flow * retry_amplification(weights, failure_ratio);
-            for (load, &weight) in loads.iter_mut().zip(weights) {
-                *load += attempts * share_of_sum(weight, weights);
+            for (load, share) in loads.iter_mut().zip(shares_of(weights)) {
+                *load += attempts * share;
             }
         }
         loads
