Message budget: all orders of one time to a proxy are counted as one message

Cause: each proxy then uses two tables, and an endpoint leaves both. The overhead lines of the message were counted against the channel once for each table, too.

Why it works: an order joins the message that its proxy is already sent at that time, and costs neither budget nor spacing; the cap counts messages as the platform does.

--- a/src/publication.rs
+++ b/src/publication.rs
@@ -3,6 +3,10 @@
 //! Every order has three requirements: orders to the proxies are not paused, each proxy of the table has a
 //! message left in its message budget, and the channel has room.
 //!
+//! All orders of one time form one message to each proxy that they reach. A proxy's message budget counts the
+//! message when its first order is given; further orders of that time, for any table, use up nothing more of
+//! it. The channel counts the lines of all orders, and the message overhead once.
+//!
 //! A *withdrawal* removes the entry of an endpoint that drains, is gone or is ejected. Withdrawals may use
 //! all of a proxy's messages and most of the channel's queue, so that a drain never waits behind ordinary
 //! changes. Other urgent entries have the limits of ordinary weights. Withdrawals and other urgent entries
@@ -162,9 +166,13 @@
         None
     }
 
-    /// Whether a proxy may receive one more message under this budget.
+    /// Whether a proxy may receive an order under this budget: in the message that it is sent now, if there is
+    /// one, or else in one more message.
     pub(crate) fn has_message_budget(&self, proxy: &Proxy, budget: MessageBudget) -> bool {
         let Some(max_messages) = self.deployment.messages_per_window else { return true };
+        if proxy.is_sent_message_at(self.now) {
+            return true;
+        }
         let max_messages = max_messages as f64;
         let window_start = self.now.saturating_sub(self.message_counting_window());
         let sent = proxy.messages_since(window_start) as f64;
@@ -278,12 +286,13 @@
         }
     }
 
-    /// Counts a message with `lines` lines of content to a proxy, under the nonce for orders at the current
-    /// time.
+    /// Counts `lines` lines of content to a proxy, under the nonce for orders at the current time. The first
+    /// of them begin a message.
     pub(crate) fn count_message(&mut self, id: ProxyId, lines: usize) {
-        let lines = self.message_lines(lines);
+        let first_lines = self.message_lines(lines);
         let window = self.message_counting_window();
         let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        let lines = if proxy.is_sent_message_at(self.now) { lines as f64 } else { first_lines };
         proxy.record_message(self.now, window);
         let nonce = self.channel.nonce_at(self.now);
         self.channel.record(UnacknowledgedMessage { nonce, proxy: id, lines, sent_at: self.now });
--- a/src/state/proxies.rs
+++ b/src/state/proxies.rs
@@ -88,9 +88,14 @@
         self.messages.iter().filter(|&&sent_at| sent_at >= start).count()
     }
 
+    /// Whether orders given at the time `now` are part of a message that is already counted.
+    pub fn is_sent_message_at(&self, now: Duration) -> bool {
+        self.messages.back() == Some(&now)
+    }
+
     /// Counts a message sent at the time `now`, and removes the messages that have left the window.
     pub fn record_message(&mut self, now: Duration, window: Duration) {
-        if self.messages.back() != Some(&now) {
+        if !self.is_sent_message_at(now) {
             self.messages.push_back(now);
         }
         while self.messages.front().is_some_and(|&sent_at| sent_at + window < now) {
