Binding: a proxy that joins gets its tables when they are empty, too

Cause: can_bind asked for a table with an entry. A lost zone whose classes stay in it has none, nor has an empty fleet, so "no entries" was taken for "not known yet", and the proxy stayed unbound. Nothing takes entries from a proxy that is not bound.

Why it works: whether the list is known is recorded; a proxy is bound where all tables are empty because no endpoint that may serve is listed as running and warm.

--- a/src/binding.rs
+++ b/src/binding.rs
@@ -1,4 +1,10 @@
 //! Binding: which proxies have to be bound to the tables of their shard, and when.
+//!
+//! Until a proxy is bound, it uses the tables that it has: those that it started with, or those of the
+//! controller that it was joined to before. Nothing takes ended endpoints out of them. So a proxy is bound as
+//! soon as the tables of its shard say where its requests may go, also if that is nowhere.
+
+use std::time::Duration;
 
 use crate::actions::Action;
 use crate::ids::{ProxyId, TableId};
@@ -6,6 +12,10 @@
 use crate::publication::{ADMISSION_MESSAGE_SHARE, MessageBudget, ORDINARY_QUEUE_SHARE};
 use crate::state::{Assigner, Proxy};
 
+/// How long a proxy stays unbound after it joined if no endpoint was listed at all. The list of a controller
+/// that has just started may be out of date, and is replaced within this time if discovery answers.
+const EMPTY_LIST_BINDING_DELAY: Duration = Duration::from_secs(1);
+
 impl Assigner {
     /// Returns a joined proxy that is not bound, or whose binding is unconfirmed, if the channel has room for
     /// its tables. The cost of a binding depends only on the shard. It is computed once per shard, because
@@ -17,7 +27,8 @@
             return None;
         }
         let mut can_bind = vec![None; self.shards.len()];
-        let mut unbound = self.proxies.iter().filter(|(_, proxy)| self.needs_binding(proxy));
+        let is_due = |proxy: &Proxy| self.needs_binding(proxy) && !self.awaits_first_endpoint(proxy);
+        let mut unbound = self.proxies.iter().filter(|(_, proxy)| is_due(proxy));
         let (id, _) = unbound.find(|(_, proxy)| {
             let shard = proxy.shard;
             *can_bind[shard].get_or_insert_with(|| self.can_bind(shard, room))
@@ -36,13 +47,31 @@
         proxy.left_at.is_none() && (!proxy.is_bound || may_be_bound_again())
     }
 
-    /// Whether a shard has a table to bind to and its tables fit into `room` protocol lines of the channel. A table
-    /// whose cold entries are withheld is one to bind to: without it, its proxies send to these endpoints what
-    /// they like, by the table that they started with.
+    /// Whether a proxy joined so recently that the first endpoints may still be listed.
+    fn awaits_first_endpoint(&self, proxy: &Proxy) -> bool {
+        self.endpoints.len() == 0 && self.now < proxy.joined_at + EMPTY_LIST_BINDING_DELAY
+    }
+
+    /// Whether proxies may be bound to a shard and its tables fit into `room` protocol lines of the channel.
     fn can_bind(&self, shard: usize, room: f64) -> bool {
         let lines = self.message_lines(self.binding_lines(shard));
-        let mut tables = self.tables[self.shards.tables_of(shard)].iter();
-        lines <= room && tables.any(|table| table.ordered_entries() > 0 || table.limited_since.is_some())
+        let mut tables = self.shards.tables_of(shard);
+        lines <= room
+            && (tables.clone().any(|table| self.has_content(table))
+                || tables.all(|table| self.is_known_empty(table)))
+    }
+
+    /// Whether a table has entries, or cold entries that are withheld: without the table's limit, its proxies
+    /// send to these endpoints what they like, by the table that they had before.
+    fn has_content(&self, table: usize) -> bool {
+        let table = &self.tables[table];
+        table.ordered_entries() > 0 || table.limited_since.is_some()
+    }
+
+    /// Whether a table is empty because no endpoint may serve its classes. Proxies are not bound to a table
+    /// that is empty for any other reason: they would have no endpoint although a warm one is listed.
+    fn is_known_empty(&self, table: usize) -> bool {
+        self.endpoints.is_list_known() && !self.has_entries(table) && self.may_be_empty(table)
     }
 
     /// Returns the maximum number of lines of a binding to the tables of a shard: one line for each table,
--- a/src/cold_tables.rs
+++ b/src/cold_tables.rs
@@ -66,7 +66,7 @@
         weights.filter(|(_, weight)| **weight > 0.0).map(|(endpoint, _)| endpoint)
     }
 
-    fn has_entries(&self, table: usize) -> bool {
+    pub(crate) fn has_entries(&self, table: usize) -> bool {
         self.entries_of(table).next().is_some()
     }
 
@@ -177,7 +177,7 @@
     }
 
     /// Whether no endpoint that may serve a table's classes is listed as running and warm.
-    fn may_be_empty(&self, table: usize) -> bool {
+    pub(crate) fn may_be_empty(&self, table: usize) -> bool {
         let group = &self.groups[self.shards.group_of_table(table)];
         let locality = self.shards.locality_of(self.shards.shard_of_table(table));
         let may_serve = |endpoint: &usize| {
--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -17,6 +17,7 @@
         self.endpoints.grow(required_size.unwrap_or(0));
         let none_was_open = self.endpoints.open().next().is_none();
         if complete {
+            self.endpoints.has_complete_list = true;
             self.remove_missing(now, entries);
         }
         for entry in entries {
--- a/src/state/assigner.rs
+++ b/src/state/assigner.rs
@@ -186,10 +186,12 @@
     }
 
     /// Replaces all tables by empty tables for `per_locality` shards in each locality, and distributes the
-    /// known proxies over the shards in turn.
+    /// known proxies over the shards in turn. Proxies that were bound to empty tables have to be bound anew if
+    /// the numbers of the tables change.
     pub(crate) fn rebuild_shards(&mut self, per_locality: usize) {
         let Some(first) = self.tables.first().cloned() else { return };
         let previous_per_locality = self.shards.per_locality;
+        let keeps_numbers = previous_per_locality == per_locality;
         let shards = self.shards.localities * per_locality;
         let empty = Table { weights: Vec::new(), ordered_weights: Vec::new(), ..first };
         self.tables = vec![empty; shards * self.groups.len()];
@@ -198,6 +200,7 @@
         self.schedule.reassigned_at = None;
         for (position, (id, proxy)) in self.proxies.iter_mut().enumerate() {
             proxy.shard = proxy.shard / previous_per_locality * per_locality + position % per_locality;
+            proxy.is_bound &= keeps_numbers;
             self.shards.members[proxy.shard].push(*id);
         }
     }
--- a/src/state/endpoints.rs
+++ b/src/state/endpoints.rs
@@ -143,6 +143,8 @@
     /// The failure ratio of the better endpoints. Failures up to this ratio are not attributed to any single
     /// endpoint.
     pub baseline_failure_ratio: f64,
+    /// Whether a complete list was received, even an empty one.
+    pub has_complete_list: bool,
 }
 
 impl Endpoints {
@@ -151,9 +153,16 @@
             endpoints: Vec::new(),
             statistics_by_zone: vec![Vec::new(); zones],
             baseline_failure_ratio: 0.0,
+            has_complete_list: false,
         }
     }
 
+    /// Whether it is known which endpoints exist. Without a complete list, as from one of several sources, a
+    /// list without any endpoint does not show that there are none.
+    pub fn is_list_known(&self) -> bool {
+        self.has_complete_list || !self.endpoints.is_empty()
+    }
+
     pub fn len(&self) -> usize {
         self.endpoints.len()
     }
--- a/src/state/proxies.rs
+++ b/src/state/proxies.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Proxy {
     /// The proxy's shard. Proxies of one shard share their tables.
     pub shard: usize,
+    /// When the proxy joined.
+    pub joined_at: Duration,
     /// When the proxy's stream broke, if it did. The proxy then continues to send requests according to the
     /// tables it holds.
     pub left_at: Option<Duration>,
@@ -60,6 +62,7 @@
         };
         Proxy {
             shard,
+            joined_at: now,
             left_at: None,
             is_bound: false,
             unconfirmed_binding: None,
--- a/tests/scenarios/binding.rs
+++ b/tests/scenarios/binding.rs
@@ -74,3 +74,114 @@
     harness.advance(110);
     assert!((1..=12).contains(&messages_since(&harness, last_unconfirmed_at)));
 }
+
+/// A deployment in which all classes stay in the proxy's zone, so that a lost zone has nothing to send requests to.
+fn own_zone_deployment() -> Deployment {
+    let mut deployment = deployment_with_zone_price();
+    deployment.classes.iter_mut().for_each(|class| class.own_zone_only = true);
+    deployment
+}
+
+fn remove(harness: &mut Harness, endpoints: &[u32]) {
+    let state = EndpointState::Removed;
+    let removed = |e: &u32| EndpointUpdate { state, ..endpoint_update(*e, e % 2) };
+    harness.update_list(false, &endpoints.iter().map(removed).collect::<Vec<_>>());
+}
+
+fn entries_of(harness: &Harness, proxy: u32) -> usize {
+    harness.tables.get(&harness.bindings[&proxy]).map_or(0, |entries| entries.len())
+}
+
+/// A zone was lost together with its controller, and its proxies join this one with the tables that they had. They were
+/// not bound, as their table was empty, and sent requests to the lost endpoints until the zone was back.
+#[test]
+fn a_proxy_that_joins_a_lost_zone_is_bound_to_its_empty_table() {
+    let mut harness = Harness::with_two_proxies(own_zone_deployment(), 8);
+    harness.run_seconds(3, 10.0, HEALTHY);
+    remove(&mut harness, &[0, 2, 4, 6]);
+    harness.advance(5);
+    harness.join(2, 0);
+    assert_eq!(entries_of(&harness, 2), 0);
+    // The other zone's proxies have endpoints, and the zone's own have some once they are back.
+    harness.join(3, 1);
+    assert_eq!(entries_of(&harness, 3), 4);
+    harness.update_list(false, &[0, 2, 4, 6].map(|e| endpoint_update(e, 0)));
+    harness.advance(20);
+    assert_eq!(entries_of(&harness, 2), 4);
+}
+
+/// All endpoints have ended, or none has ever been listed. A proxy that joins may hold tables with any of them.
+#[test]
+fn a_proxy_that_joins_without_any_endpoint_is_bound_and_gets_those_that_are_listed_later() {
+    for endpoints_before in [0, 80] {
+        let channel =
+            Deployment { channel_lines_per_second: 3_000.0, proxies: 80, ..deployment_with_zone_price() };
+        let mut harness = Harness::with_proxies(channel, endpoints_before, []);
+        harness.advance(5);
+        remove(&mut harness, &(0..endpoints_before).collect::<Vec<_>>());
+        (0..80).for_each(|proxy| harness.join(proxy, proxy % 2));
+        harness.advance(10);
+        assert_eq!(harness.bindings.len(), 80, "{endpoints_before}");
+        assert!((0..80).all(|proxy| entries_of(&harness, proxy) == 0), "{endpoints_before}");
+        // Tables for 80 endpoints are longer, so there may be more of them.
+        harness.update_list(true, &(0..80).map(|e| endpoint_update(e, e % 2)).collect::<Vec<_>>());
+        harness.advance(30);
+        assert!((0..80).all(|proxy| entries_of(&harness, proxy) > 0), "{endpoints_before}");
+        let used: BTreeSet<u32> = harness.bindings.values().copied().collect();
+        assert!(used.len() > 2, "{used:?}");
+    }
+}
+
+/// Nothing is known of the endpoints yet, or the list that the controller started with is about to be replaced. An empty
+/// table would take the endpoints away that proxies have.
+#[test]
+fn a_proxy_is_not_bound_to_an_empty_table_before_the_list_can_be_known() {
+    let mut harness = Harness::new(deployment());
+    harness.update_list(false, &[]);
+    harness.join(0, 0);
+    harness.advance(50);
+    assert!(harness.bindings.is_empty(), "one of several sources lists nothing");
+    let mut harness = Harness::new(deployment());
+    harness.update_list(true, &[]);
+    harness.join(0, 0);
+    harness.advance(5);
+    assert!(harness.bindings.is_empty());
+    harness.update_list(true, &[endpoint_update(0, 0)]);
+    harness.advance(1);
+    assert_eq!(entries_of(&harness, 0), 1);
+}
+
+/// The endpoints of a zone are listed as running and warm, but health checks have ejected all of them. A proxy that joins
+/// keeps the endpoints that it has, as any of them is better than none.
+#[test]
+fn a_proxy_is_not_bound_to_an_empty_table_while_a_warm_endpoint_is_listed() {
+    let mut harness = Harness::with_two_proxies(own_zone_deployment(), 12);
+    let ejected = [0, 2, 4, 6, 8, 10];
+    harness.health_check_outcomes = ejected.iter().map(|e| (*e, HealthCheckOutcome::Failed)).collect();
+    let fails =
+        |e: u32| (e < 12).then_some(load_report(10.0, if e.is_multiple_of(2) { 10.0 } else { 0.0 }, 0.3));
+    harness.run_seconds(15, 10.0, fails);
+    assert_eq!(entries_of(&harness, 0), 0, "the zone is ejected");
+    harness.join(2, 0);
+    harness.advance(20);
+    assert!(!harness.bindings.contains_key(&2));
+}
+
+/// Orders are paused, or the watch stream breaks, while a zone is lost. A proxy may have rejoined with other tables.
+#[test]
+fn proxies_of_a_lost_zone_are_bound_anew_after_a_pause_and_a_break_of_the_watch_stream() {
+    let mut harness = Harness::with_two_proxies(own_zone_deployment(), 8);
+    harness.run_seconds(3, 10.0, HEALTHY);
+    harness.assigner.pause_orders();
+    remove(&mut harness, &[0, 2, 4, 6]);
+    harness.join(2, 0);
+    harness.advance(20);
+    assert!(!harness.bindings.contains_key(&2));
+    let orders = harness.assigner.resume_orders(harness.now);
+    harness.apply(orders);
+    assert_eq!(entries_of(&harness, 2), 0);
+    harness.bindings.clear();
+    (0..3).for_each(|proxy| harness.assigner.proxy_binding_unconfirmed(ProxyId(proxy)));
+    harness.advance(2);
+    assert_eq!([0, 1, 2].map(|proxy| entries_of(&harness, proxy)), [0, 4, 0]);
+}
