Publication: the first warm endpoint of an empty table waits for no ordinary message

What callers would see: the endpoints of a zone drain one by one until its table is empty; a warm endpoint that is then listed has no place in it for as long as the drains' messages count, up to 10 s, and the proxies of the zone reject all requests.

Cause: such an entry is no withdrawal, so it went as an ordinary change, for which half of a proxy's messages are there.

Evidence: an_empty_table_gets_a_warm_endpoint_although_drains_have_used_most_messages failed before (no entry after 2 s).

Why it works: the first entries of a table in use may use all messages, spaced like withdrawals, so that the next drain waits for one spacing at most and the cap holds (7 to 12 messages in the test's 10 s). Cold entries have no part in it: they wait for their limit.

--- a/src/publication.rs
+++ b/src/publication.rs
@@ -9,7 +9,8 @@
 //!
 //! A *withdrawal* removes the entry of an endpoint that drains, is gone or is ejected. Withdrawals may use
 //! all of a proxy's messages and most of the channel's queue, so that a drain never waits behind ordinary
-//! changes. Other urgent entries have the limits of ordinary weights. Withdrawals and other urgent entries
+//! changes. The first entries of a table that proxies use may use all of their messages too, if one is warm:
+//! without them the proxies have no endpoint. Other urgent entries have the limits of ordinary weights. Withdrawals and other urgent entries
 //! are exempt from the ordinary publish rate. Admission changes may use more messages than weight changes.
 
 use std::time::Duration;
@@ -69,7 +70,7 @@
 
 impl Assigner {
     /// Returns the table to publish for its urgent entries: entries of endpoints that drain, are gone or are
-    /// ejected, or too large entries of endpoints that warm up. Of several tables, the one with the oldest
+    /// ejected, too large entries of endpoints that warm up, or the first entries of a table. Of several tables, the one with the oldest
     /// publication is returned.
     pub(crate) fn table_with_urgent_entries(&self) -> Option<Action> {
         let may_publish = |&table: &usize| {
@@ -133,11 +134,13 @@
     }
 
     fn urgent_limits(&self, table: usize) -> PublicationLimits {
-        if self.tables[table].pending.has_withdrawal {
+        let pending = &self.tables[table].pending;
+        if pending.has_withdrawal {
             return self.withdrawal_limits(table);
         }
+        let message_share = if pending.ends_emptiness { 1.0 } else { WEIGHT_MESSAGE_SHARE };
         PublicationLimits {
-            messages: MessageBudget::spaced(WEIGHT_MESSAGE_SHARE),
+            messages: MessageBudget::spaced(message_share),
             queue_share: ORDINARY_QUEUE_SHARE,
             is_urgent: true,
         }
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -68,6 +68,8 @@
     pub urgent: usize,
     /// Whether one of the entries withdraws an endpoint that drains, is gone or is ejected.
     pub has_withdrawal: bool,
+    /// Whether the entries bring a warm endpoint into a table without entries, so that its proxies have one.
+    pub ends_emptiness: bool,
 }
 
 /// Since when a table has had a pending withdrawal, and whether it was reported to the operators.
--- a/src/weight_steps.rs
+++ b/src/weight_steps.rs
@@ -133,7 +133,7 @@
     ///
     /// Withdrawals, and reductions of endpoints that warm up, are urgent and go first. If little weight would
     /// remain, new entries go first and removals last instead, so that no proxy is left without an endpoint.
-    /// If any entry is urgent, all are then urgent.
+    /// If any entry is urgent, all are then urgent. So are all entries of a table that had none, if one is warm.
     fn pending_publication(&self, table: usize) -> PendingPublication {
         let table_state = &self.tables[table];
         let mut entries = table_state.changed_entries();
@@ -141,14 +141,31 @@
             entries.retain(|&endpoint| table_state.weights[endpoint] <= 0.0);
         }
         let has_withdrawal = entries.iter().any(|&endpoint| self.needs_withdrawal(table, endpoint));
+        if self.ends_emptiness(table, &entries) {
+            return PendingPublication {
+                urgent: entries.len(),
+                entries,
+                has_withdrawal,
+                ends_emptiness: true,
+            };
+        }
         let urgent = entries.iter().filter(|&&endpoint| self.is_urgent(table, endpoint)).count();
         if table_state.would_leave_little_weight() {
             entries.sort_by_key(|&endpoint| table_state.weights[endpoint] <= 0.0);
             let urgent = if urgent > 0 { entries.len() } else { 0 };
-            return PendingPublication { entries, urgent, has_withdrawal };
+            return PendingPublication { entries, urgent, has_withdrawal, ends_emptiness: false };
         }
         entries.sort_by_key(|&endpoint| !self.is_urgent(table, endpoint));
-        PendingPublication { entries, urgent, has_withdrawal }
+        PendingPublication { entries, urgent, has_withdrawal, ends_emptiness: false }
+    }
+
+    /// Whether these entries of a table, to which proxies are bound, are its first and one of them is warm.
+    fn ends_emptiness(&self, table: usize, entries: &[usize]) -> bool {
+        let table_state = &self.tables[table];
+        let is_warm = |&endpoint: &usize| table_state.weights[endpoint] > 0.0 && !self.is_cold(endpoint);
+        table_state.ordered_entries() == 0
+            && entries.iter().any(is_warm)
+            && self.proxies_of(table).next().is_some()
     }
 
     fn is_urgent(&self, table: usize, endpoint: usize) -> bool {
--- a/tests/scenarios/binding.rs
+++ b/tests/scenarios/binding.rs
@@ -185,3 +185,24 @@
     harness.advance(2);
     assert_eq!([0, 1, 2].map(|proxy| entries_of(&harness, proxy)), [0, 4, 0]);
 }
+
+/// The endpoints of a zone drain one by one, which takes most of the messages, and the zone's table is empty. Once a warm
+/// endpoint is listed there, its entry must not wait for the messages that ordinary changes may use.
+#[test]
+fn an_empty_table_gets_a_warm_endpoint_although_drains_have_used_most_messages() {
+    let mut harness = Harness::with_two_proxies(own_zone_deployment(), 20);
+    harness.run_seconds(12, 10.0, |_| None);
+    for drained in (0..20).step_by(2) {
+        let state = EndpointState::Draining;
+        harness.update_list(false, &[EndpointUpdate { state, ..endpoint_update(drained, 0) }]);
+        harness.advance(7);
+    }
+    harness.advance(10);
+    assert_eq!(entries_of(&harness, 0), 0);
+    harness.update_list(false, &[endpoint_update(20, 0)]);
+    harness.advance(20);
+    assert_eq!(entries_of(&harness, 0), 1);
+    let since = harness.now - 10_000 * MS;
+    let sent = harness.messages.iter().filter(|(proxy, at)| *proxy == 0 && *at >= since).count();
+    assert!((7..=12).contains(&sent), "{sent}");
+}
