Message budget: a call is charged for the proxies that it reached or may have reached

Cause: the relay refused the new endpoint's weight in 8 calls. charge_extra_messages charged each to all proxies of the table before the call, and nothing was given back, so the drain found no message left. What was charged for a nonce was given back only if its call was busy or not sent. The other way round, orders behind a refused one, the rest of a long call and repeated orders were charged but held to no limit, and a charge in the turn of another order was lost, though they were two calls.

Why it works: after each call the assigner is told which orders were, or may have been, applied, and takes the charge back from every other proxy; nonces that left in one call are one message. Orders for another call are admitted and charged first, under the nonce of their turn. A refused order that is sent again goes last in its call, within the messages of ordinary changes.

orders_sent_separately is replaced by admit_extra_orders; the test of unknown ids calls both new functions in its place.

--- a/crates/controller/src/counters.rs
+++ b/crates/controller/src/counters.rs
@@ -68,6 +68,9 @@
     CALLS_UNREADABLE: "calls that the relay could not read",
     /// Calls that were not sent because there was no connection.
     CALLS_NOT_SENT: "calls without a connection",
+    /// Messages to proxies that were charged for orders and do not count any more, because the call did not reach the
+    /// proxy, or carried orders of several times in one message.
+    MESSAGES_REFUNDED: "messages given back to proxies",
     /// Acknowledgements of calls that were applied after a later call and undid part of it.
     CALLS_APPLIED_LATE: "calls carried out after a later one",
     /// The times that all orders were paused until the relay answers a probe.
--- a/crates/controller/src/relay/dispatcher.rs
+++ b/crates/controller/src/relay/dispatcher.rs
@@ -12,12 +12,13 @@
 use dahliaroad_pacing::Backoff;
 use dahliaroad_runtime::{Inbox, Runtime};
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::call_log;
 use super::caller::{CallOutcome, Caller, FinishedCall};
 use super::error::RelayError;
-use super::order::{Batch, Order, ReturnedOrders, Target, Undelivered, order_targets};
+use super::order::{Batch, Order, ReturnedOrders, Target, Undelivered, order_targets, recipients_of};
 use super::outbox::SharedOutbox;
 use super::{INITIAL_BACKOFF, RelayHealth};
 use crate::counters;
@@ -78,7 +79,7 @@
                     self.outbox.with(|outbox| outbox.retry_rejected());
                 }
             }
-            while let Some(batch) = self.outbox.with(|outbox| outbox.take_call(self.max_orders)) {
+            while let Some(batch) = self.next_call().await {
                 self.send(batch).await;
             }
             if !self.has_rejected_for_now() {
@@ -91,13 +92,20 @@
         self.outbox.with(|outbox| outbox.has_rejected_for_now())
     }
 
+    /// Returns the next call, if any order waits. Orders that the assigner has not charged for are admitted first.
+    async fn next_call(&self) -> Option<Batch> {
+        if self.outbox.with(|outbox| outbox.has_extra_orders()) {
+            self.admit_extra_orders().await;
+        }
+        self.outbox.with(|outbox| outbox.take_call(self.max_orders))
+    }
+
     async fn send(&mut self, batch: Batch) {
         if self.health.needs_probe() {
             call_log::probing_before_call(self.caller.address(), &batch, self.health.time_since_heard());
             let returned = self.outbox.with(|outbox| outbox.call_not_applied(batch));
             return self.recover(returned).await;
         }
-        self.charge_extra_messages(&batch).await;
         counters::CALLS_SENT.add(1);
         counters::ORDERS_SENT.add(batch.orders.len());
         let call = self.caller.call(&batch.orders).await;
@@ -110,6 +118,7 @@
         if !matches!(call.outcome, CallOutcome::Unreadable) {
             self.max_orders = usize::MAX;
         }
+        self.report_reached_proxies(&batch, &call.outcome).await;
         match &call.outcome {
             CallOutcome::Applied(count) => {
                 self.health.mark_heard();
@@ -171,7 +180,7 @@
         } else {
             self.call_backoff.reset();
         }
-        self.outbox.with(|outbox| outbox.requeue_unreadable(batch));
+        self.outbox.with(|outbox| outbox.requeue_as_extra_message(batch.orders));
         sleep(self.call_backoff.next_delay()).await;
     }
 
@@ -194,20 +203,41 @@
         self.outbox.with(|outbox| outbox.reject_for_now(order));
     }
 
-    /// Has the assigner charge orders that are sent separately from the others of their nonce to the message budgets
-    /// of their proxies, because each of these proxies receives an extra message.
-    async fn charge_extra_messages(&self, batch: &Batch) {
-        let extra = batch.extra_message_targets();
-        if extra.is_empty() {
+    /// Reports to the assigner which proxies a call has or may have reached. Nothing is reported of a call that has
+    /// reached all proxies that were charged for it, or whose orders are all returned.
+    async fn report_reached_proxies(&self, batch: &Batch, outcome: &CallOutcome) {
+        let reached = match outcome {
+            CallOutcome::Applied(count) => &batch.orders[..*count],
+            CallOutcome::Unknown(_) => &batch.orders,
+            CallOutcome::Unreadable => &[],
+            CallOutcome::Busy | CallOutcome::NotSent(_) => return,
+        };
+        let reached_all = reached.len() == batch.orders.len() && !batch.is_split;
+        if batch.fresh_nonces.is_empty() || (reached_all && batch.fresh_nonces.len() == 1) {
             return;
         }
-        let Some(nonce) = batch.nonce else { return };
-        let charge = move |runtime: &mut Runtime, now| {
-            let extra = order_targets(extra.iter(), &runtime.endpoint_ids);
-            runtime.assigner.orders_sent_separately(now, &extra, nonce);
+        let (nonces, reached) = (batch.fresh_nonces.clone(), recipients_of(reached));
+        let report = move |runtime: &mut Runtime, _| {
+            counters::MESSAGES_REFUNDED.add(runtime.assigner.call_finished(&nonces, &reached));
             Orders::default()
         };
-        self.inbox.send(Box::new(charge)).await;
+        self.inbox.send(Box::new(report)).await;
+    }
+
+    /// Has the assigner admit the waiting orders that it has not charged to the message budgets of their proxies.
+    /// Orders that are not admitted return to the assigner. Waits until this is done.
+    async fn admit_extra_orders(&self) {
+        let (done, is_done) = oneshot::channel();
+        let outbox = self.outbox.clone();
+        let admit = move |runtime: &mut Runtime, now| {
+            let orders = admit_waiting_orders(runtime, now, &outbox);
+            // The receiver is gone only if the dispatcher has ended.
+            let _ = done.send(());
+            orders
+        };
+        self.inbox.send(Box::new(admit)).await;
+        // The sender is gone only if the runtime has ended.
+        let _ = is_done.await;
     }
 
     /// Has the assigner pause all orders until the relay answers again. Undelivered orders return to the assigner,
@@ -264,10 +294,27 @@
     }
 }
 
+/// Queues the waiting extra orders again that the assigner admits, and returns the others to it. Runs in a turn of the
+/// runtime.
+fn admit_waiting_orders(runtime: &mut Runtime, now: Duration, outbox: &SharedOutbox) -> Orders {
+    let waiting = outbox.with(|outbox| outbox.take_extra_orders());
+    let extra = waiting.iter().filter_map(|order| order.as_extra_order(&runtime.endpoint_ids));
+    let admission = runtime.assigner.admit_extra_orders(now, &extra.collect::<Vec<_>>());
+    let (mut admitted, mut declined) = (Vec::new(), Vec::new());
+    for (order, is_admitted) in waiting.into_iter().zip(admission.is_admitted) {
+        if is_admitted { admitted.push(order) } else { declined.push(order) }
+    }
+    let targets = order_targets(declined.iter().map(|order| &order.target), &runtime.endpoint_ids);
+    runtime.assigner.orders_undelivered(&targets, None);
+    outbox.with(|outbox| outbox.requeue_admitted(admitted));
+    let orders = runtime.assigner.on_timer(now);
+    Orders { nonce: orders.nonce.or(admission.nonce), ..orders }
+}
+
 /// Reports the undelivered orders to the assigner. Runs in a turn of the runtime.
 fn return_to_assigner(runtime: &mut Runtime, undelivered: Undelivered) {
     for nonce in undelivered.nonces_not_sent {
-        runtime.assigner.orders_not_sent(nonce);
+        counters::MESSAGES_REFUNDED.add(runtime.assigner.orders_not_sent(nonce));
     }
     for part in undelivered.parts {
         runtime.assigner.orders_undelivered(&part.orders, part.attempt);
--- a/crates/controller/src/relay/order.rs
+++ b/crates/controller/src/relay/order.rs
@@ -1,8 +1,12 @@
 //! Encoded orders and the batches that calls carry: the data types shared by the outbox, the attempts and the caller.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use dahliaroad::{AttemptId, ClassSet, Nonce, ProxyId, TableId, UndeliveredOrders};
+use dahliaroad::{
+    AttemptId, ClassSet, ExtraMessageBudget, ExtraOrder, Nonce, ProxyId, Recipients, TableId,
+    UndeliveredOrders,
+};
 use dahliaroad_runtime::EndpointIds;
 use serde_json::value::RawValue;
 
@@ -77,6 +81,15 @@
         }
     }
 
+    /// Returns the proxies that an order for this target is sent to; `None` for the stamp, which goes with other orders.
+    pub fn recipients(&self) -> Option<Recipients> {
+        match self {
+            Target::Weight { table, .. } | Target::Admission { table, .. } => Some(Recipients::Table(*table)),
+            Target::Binding { proxy, .. } => Some(Recipients::Proxy(*proxy)),
+            Target::CallStamp => None,
+        }
+    }
+
     /// Whether this target is a binding of `proxy`.
     pub fn binds(&self, proxy: ProxyId) -> bool {
         matches!(self, Target::Binding { proxy: bound_proxy, .. } if *bound_proxy == proxy)
@@ -92,8 +105,10 @@
     pub sequence: u64,
     /// Whether the relay may apply the order later if it rejects it now.
     pub retry_when_rejected: bool,
-    /// Whether the order is sent in a call that the assigner has not charged to the message budgets of its proxies.
+    /// Whether the order waits for a call that the assigner has not charged to the message budgets of its proxies.
     pub is_extra_message: bool,
+    /// Whether the relay has rejected the order before.
+    pub is_retry: bool,
     /// The order's text on the wire.
     pub json: Box<RawValue>,
 }
@@ -111,16 +126,30 @@
     pub fresh_nonces: Vec<Nonce>,
     /// The stamp by which proxies acknowledge the call.
     pub stamp: Option<CallStamp>,
+    /// Whether orders of the same nonces remain for a later call.
+    pub is_split: bool,
 }
 
-impl Batch {
-    /// Returns the targets for which the assigner has not charged the call to the message budgets of their proxies.
-    pub fn extra_message_targets(&self) -> Vec<Target> {
-        let is_extra = |order: &&Order| order.is_extra_message && order.target != Target::CallStamp;
-        self.orders.iter().filter(is_extra).map(|order| order.target.clone()).collect()
+impl Order {
+    /// Returns the order as an extra message, unless it goes with other orders anyway. An order that cannot be given
+    /// again, as its endpoint has no id any more, is always sent.
+    pub fn as_extra_order(&self, endpoint_ids: &EndpointIds) -> Option<ExtraOrder> {
+        let budget = match &self.target {
+            Target::Weight { endpoint, .. } if endpoint_ids.find(endpoint).is_none() => {
+                ExtraMessageBudget::Required
+            }
+            _ if self.is_retry => ExtraMessageBudget::Retry,
+            _ => ExtraMessageBudget::RestOfCall,
+        };
+        self.target.recipients().map(|recipients| ExtraOrder { recipients, budget })
     }
 }
 
+/// Returns the proxies that these orders are sent to.
+pub fn recipients_of(orders: &[Order]) -> BTreeSet<Recipients> {
+    orders.iter().filter_map(|order| order.target.recipients()).collect()
+}
+
 /// Orders of a failed call that are returned to the assigner. Only the assigner gives orders again.
 #[derive(Debug)]
 pub struct ReturnedOrders {
--- a/crates/controller/src/relay/outbox.rs
+++ b/crates/controller/src/relay/outbox.rs
@@ -109,6 +109,7 @@
             sequence: self.last_sequence,
             retry_when_rejected,
             is_extra_message: false,
+            is_retry: false,
             json,
         };
         self.rejected_for_now.remove(&target);
@@ -124,8 +125,10 @@
     /// under the same nonce.
     pub fn take_call(&mut self, max_orders: usize) -> Option<Batch> {
         let mut orders: Vec<Order> = std::mem::take(&mut self.waiting).into_values().collect();
-        orders.sort_by_key(|order| (order.target.position_in_call(), order.sequence));
-        let stamp_order = orders.pop_if(|order| order.target == Target::CallStamp);
+        // An order that is rejected again stops the orders behind it, so it goes behind all that may be applied.
+        orders.sort_by_key(|order| (order.is_retry, order.target.position_in_call(), order.sequence));
+        let stamp_at = orders.iter().position(|order| order.target == Target::CallStamp);
+        let stamp_order = stamp_at.map(|position| orders.remove(position));
         let mut remaining = orders.split_off(count_that_fits(&orders, max_orders, stamp_order.is_some()));
         let is_complete = remaining.is_empty();
         if !is_complete {
@@ -146,7 +149,7 @@
         let attempt = self.attempts.begin(&orders, identity);
         let fresh_nonces = std::mem::take(&mut self.fresh_nonces);
         let stamp = identity.map(|identity| identity.stamp);
-        Some(Batch { orders, nonce: self.nonce, attempt, fresh_nonces, stamp })
+        Some(Batch { orders, nonce: self.nonce, attempt, fresh_nonces, stamp, is_split: !is_complete })
     }
 
     fn take_stamp(&mut self) -> CallStamp {
@@ -227,10 +230,28 @@
         self.requeue(orders);
     }
 
-    /// Queues the orders of a call again that the relay could not read and that reached no proxy.
-    pub fn requeue_unreadable(&mut self, batch: Batch) {
-        self.requeue(batch.orders);
-        self.fresh_nonces.extend(batch.fresh_nonces);
+    /// Whether orders wait that are sent in a later call than the others of their nonce, so that the assigner has to
+    /// admit them first.
+    pub fn has_extra_orders(&self) -> bool {
+        self.waiting.values().any(Outbox::is_extra_order)
+    }
+
+    /// Takes the waiting orders that the assigner has to admit.
+    pub fn take_extra_orders(&mut self) -> Vec<Order> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (extra, others) = waiting.into_iter().partition(|(_, order)| Outbox::is_extra_order(order));
+        self.waiting = others;
+        BTreeMap::into_values(extra).collect()
+    }
+
+    fn is_extra_order(order: &Order) -> bool {
+        order.is_extra_message && order.target != Target::CallStamp
+    }
+
+    /// Queues orders again that the assigner has admitted, and charged to the message budgets of their proxies.
+    pub fn requeue_admitted(&mut self, mut orders: Vec<Order>) {
+        orders.iter_mut().for_each(|order| order.is_extra_message = false);
+        self.requeue(orders);
     }
 
     /// Keeps a rejected order until [`retry_rejected`](Outbox::retry_rejected) is called, unless a later order for the
@@ -248,8 +269,9 @@
 
     /// Queues the orders that are rejected for now again.
     pub fn retry_rejected(&mut self) {
-        let rejected = std::mem::take(&mut self.rejected_for_now);
-        self.requeue_as_extra_message(rejected.into_values().collect());
+        let mut rejected: Vec<Order> = std::mem::take(&mut self.rejected_for_now).into_values().collect();
+        rejected.iter_mut().for_each(|order| order.is_retry = true);
+        self.requeue_as_extra_message(rejected);
     }
 
     /// Drops the waiting bindings of a proxy that has left. The relay would reject them, or they would reach the
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,8 +82,9 @@
 };
 pub use ids::{ClassId, ClassSet, EndpointId, ProxyId, TableId, ZoneId};
 pub use orders::{
-    AdmissionOrder, AttemptId, BindingOrder, BlockReason, BlockedWithdrawals, LateWithdrawal, Nonce, Orders,
-    RetryPolicy, UndeliveredOrders, WeightOrder,
+    AdmissionOrder, AttemptId, BindingOrder, BlockReason, BlockedWithdrawals, ExtraAdmission,
+    ExtraMessageBudget, ExtraOrder, LateWithdrawal, Nonce, Orders, Recipients, RetryPolicy,
+    UndeliveredOrders, WeightOrder,
 };
 pub use solver::ShareSolver;
 pub use state::Assigner;
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -90,6 +90,46 @@
     pub bindings: Vec<ProxyId>,
 }
 
+/// The proxies that an order is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Recipients {
+    /// All proxies that are bound to a table.
+    Table(TableId),
+    /// One proxy, which is bound to a table by the order.
+    Proxy(ProxyId),
+}
+
+/// The messages that an order may use which is sent in a later call than other orders of its nonce.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExtraMessageBudget {
+    /// Any message that is left. For orders that did not fit into their call, or that the relay did not reach
+    /// in it: the first part of the call may already be in effect.
+    RestOfCall,
+    /// The messages of ordinary changes. For an order that the relay has rejected before, and may reject again.
+    Retry,
+    /// A message even if none is left. For an order that cannot be given again.
+    Required,
+}
+
+/// An order that is sent in a later call than other orders of its nonce, so that it costs its recipients a
+/// message of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExtraOrder {
+    /// The proxies that the order is sent to.
+    pub recipients: Recipients,
+    /// The messages that it may use.
+    pub budget: ExtraMessageBudget,
+}
+
+/// Which extra orders may be sent now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ExtraAdmission {
+    /// For each order, whether it may be sent. The others have to be returned as undelivered.
+    pub is_admitted: Vec<bool>,
+    /// The nonce that the recipients have to acknowledge, if there are any.
+    pub nonce: Option<Nonce>,
+}
+
 /// The reason why an order cannot be sent yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BlockReason {
--- a/src/publication.rs
+++ b/src/publication.rs
@@ -33,7 +33,7 @@
 const WHOLE_TABLE_QUEUE_SHARE: f64 = WITHDRAWAL_QUEUE_SHARE / 3.0;
 /// The fraction of a proxy's messages that weight changes may use. Messages within this fraction need no
 /// spacing.
-const WEIGHT_MESSAGE_SHARE: f64 = 0.5;
+pub(crate) const WEIGHT_MESSAGE_SHARE: f64 = 0.5;
 /// The fraction of a proxy's messages that admission changes may use. It is larger than the fraction for
 /// weight changes, because needless rejections cost more than late weights.
 pub(crate) const ADMISSION_MESSAGE_SHARE: f64 = 0.75;
@@ -182,7 +182,7 @@
         let max_unspaced = (max_messages * WEIGHT_MESSAGE_SHARE).floor();
         let spacing =
             self.deployment.message_window.div_f64((max_messages * (1.0 - WEIGHT_MESSAGE_SHARE)).max(1.0));
-        let is_spacing_over = proxy.messages.back().is_none_or(|&last| self.now >= last + spacing);
+        let is_spacing_over = proxy.last_message_at().is_none_or(|last| self.now >= last + spacing);
         let meets_spacing = !budget.requires_spacing || is_spacing_over || sent < max_unspaced;
         sent < (max_messages * budget.share).floor() && meets_spacing
     }
@@ -289,15 +289,22 @@
         }
     }
 
-    /// Counts `lines` lines of content to a proxy, under the nonce for orders at the current time. The first
-    /// of them begin a message.
+    /// Counts `lines` lines of content to a proxy, under the nonce for orders at the current time.
     pub(crate) fn count_message(&mut self, id: ProxyId, lines: usize) {
+        if let Some(message) = self.charge_message(id, lines) {
+            self.channel.record(message);
+        }
+    }
+
+    /// Charges the message budget of a proxy for `lines` lines of content, under the nonce for orders at the
+    /// current time. The first of them begin a message. Returns the lines as they count in the channel.
+    pub(crate) fn charge_message(&mut self, id: ProxyId, lines: usize) -> Option<UnacknowledgedMessage> {
         let first_lines = self.message_lines(lines);
         let window = self.message_counting_window();
-        let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        let proxy = self.proxies.get_mut(&id)?;
         let lines = if proxy.is_sent_message_at(self.now) { lines as f64 } else { first_lines };
-        proxy.record_message(self.now, window);
         let nonce = self.channel.nonce_at(self.now);
-        self.channel.record(UnacknowledgedMessage { nonce, proxy: id, lines, sent_at: self.now });
+        proxy.record_message(nonce, self.now, window);
+        Some(UnacknowledgedMessage { nonce, proxy: id, lines, sent_at: self.now })
     }
 }
--- a/src/state/channel.rs
+++ b/src/state/channel.rs
@@ -69,12 +69,10 @@
         }
     }
 
-    /// Removes and returns the messages of a nonce.
-    pub fn take(&mut self, nonce: Nonce) -> VecDeque<UnacknowledgedMessage> {
-        let (taken, rest) = self.messages.iter().partition(|message| message.nonce == nonce);
-        self.messages = rest;
+    /// Removes the messages of these nonces to the proxies that `is_reached` rejects.
+    pub fn refund(&mut self, nonces: &[Nonce], is_reached: impl Fn(ProxyId) -> bool) {
+        self.messages.retain(|message| !nonces.contains(&message.nonce) || is_reached(message.proxy));
         self.recount();
-        taken
     }
 
     fn recount(&mut self) {
@@ -111,9 +109,9 @@
         self.last_nonce
     }
 
-    /// Counts a message that is sent now, also against the ordinary publish rate. Orders that are repeated in
-    /// a separate call are only added to [`UnacknowledgedMessages`], because they counted against the rate
-    /// when they were ordered.
+    /// Counts a message that is sent now, also against the ordinary publish rate. Orders that are sent in a
+    /// later call than others of their nonce are only added to [`UnacknowledgedMessages`], because they counted
+    /// against the rate when they were ordered.
     pub fn record(&mut self, message: UnacknowledgedMessage) {
         self.unacknowledged.push(message);
         self.publish_rate_debt += message.lines;
--- a/src/state/proxies.rs
+++ b/src/state/proxies.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::orders::AttemptId;
+use crate::orders::{AttemptId, Nonce};
 
 /// The demand of one class at a proxy, as reported.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +25,14 @@
     pub attempt: Option<AttemptId>,
 }
 
+/// A message that was sent to a proxy. Orders sent at the same time form one message.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentMessage {
+    /// The nonce of the orders.
+    pub nonce: Nonce,
+    pub sent_at: Duration,
+}
+
 /// The state of a proxy.
 #[derive(Debug)]
 pub(crate) struct Proxy {
@@ -44,8 +52,8 @@
     pub demand_by_class: Vec<ClassDemand>,
     /// Requests per second of all classes, a slow moving average.
     pub baseline_demand: f64,
-    /// When messages were sent to the proxy, oldest first. Orders sent at the same time form one message.
-    pub messages: VecDeque<Duration>,
+    /// The messages that the proxy was sent, oldest first.
+    pub messages: VecDeque<SentMessage>,
 }
 
 impl Proxy {
@@ -88,26 +96,36 @@
     }
 
     pub fn messages_since(&self, start: Duration) -> usize {
-        self.messages.iter().filter(|&&sent_at| sent_at >= start).count()
+        self.messages.iter().filter(|message| message.sent_at >= start).count()
+    }
+
+    pub fn last_message_at(&self) -> Option<Duration> {
+        self.messages.back().map(|message| message.sent_at)
     }
 
     /// Whether orders given at the time `now` are part of a message that is already counted.
     pub fn is_sent_message_at(&self, now: Duration) -> bool {
-        self.messages.back() == Some(&now)
+        self.last_message_at() == Some(now)
     }
 
     /// Counts a message sent at the time `now`, and removes the messages that have left the window.
-    pub fn record_message(&mut self, now: Duration, window: Duration) {
+    pub fn record_message(&mut self, nonce: Nonce, now: Duration, window: Duration) {
         if !self.is_sent_message_at(now) {
-            self.messages.push_back(now);
+            self.messages.push_back(SentMessage { nonce, sent_at: now });
         }
-        while self.messages.front().is_some_and(|&sent_at| sent_at + window < now) {
+        while self.messages.front().is_some_and(|message| message.sent_at + window < now) {
             self.messages.pop_front();
         }
     }
 
-    /// Removes the message recorded for this time, because its orders were never sent and use up no message.
-    pub fn refund_message(&mut self, sent_at: Duration) {
-        self.messages.retain(|&message| message != sent_at);
+    /// Removes the messages of these nonces, whose orders were sent in one call. The latest is kept if the call
+    /// has reached the proxy. Returns the number of removed messages.
+    pub fn refund_messages(&mut self, nonces: &[Nonce], is_reached: bool) -> usize {
+        let count = self.messages.len();
+        let is_of_call = |message: &SentMessage| nonces.contains(&message.nonce);
+        let kept = self.messages.iter().rev().find(|message| is_of_call(message)).filter(|_| is_reached);
+        let kept = kept.map(|message| message.sent_at);
+        self.messages.retain(|message| !is_of_call(message) || Some(message.sent_at) == kept);
+        count - self.messages.len()
     }
 }
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod deployment_sizes;
 mod endpoint_list;
+mod message_charges;
 mod outlier_detection;
 mod publication;
 mod released_endpoints;
--- a/tests/scenarios/unknown_ids.rs
+++ b/tests/scenarios/unknown_ids.rs
@@ -34,7 +34,10 @@
         admissions: vec![(TableId(UNKNOWN), ClassSet(0))],
         bindings: vec![ProxyId(UNKNOWN)],
     };
-    assigner.orders_sent_separately(now, &orders, 1);
+    let budget = ExtraMessageBudget::Required;
+    let recipients = [Recipients::Table(TableId(UNKNOWN)), Recipients::Proxy(ProxyId(UNKNOWN))];
+    assigner.admit_extra_orders(now, &recipients.map(|recipients| ExtraOrder { recipients, budget }));
+    assigner.call_finished(&[1], &BTreeSet::from(recipients));
     assigner.orders_undelivered(&orders, None);
     harness.run_seconds(3, 10.0, HEALTHY);
     assert_eq!(harness.tables.keys().collect::<Vec<_>>(), before.keys().collect::<Vec<_>>());
