Discovery: an empty list in the configuration counts as none

What callers would see: a controller starts with an empty list, which is out of date, while discovery is silent; since proxies are bound to empty tables, those that join would lose the endpoints that they have, until discovery answers.

Cause: the configuration's list is what the controller last had, and may be old. It was taken in as a complete list, so that the assigner knew that there are no endpoints.

Why it works: with an empty list the watch begins without one, and asks for the complete list first; only discovery's own answer shows that there are no endpoints.

--- a/crates/controller/src/discovery/endpoint_list.rs
+++ b/crates/controller/src/discovery/endpoint_list.rs
@@ -120,9 +120,14 @@
         self.revision
     }
 
+    /// Whether the list has no entry.
+    pub fn is_empty(&self) -> bool {
+        self.entries.length == 0
+    }
+
     /// Whether the list is an empty list of changes.
     pub fn has_no_changes(&self) -> bool {
-        !self.complete && self.entries.length == 0
+        !self.complete && self.is_empty()
     }
 
     /// Decodes the entries. An endpoint whose entry cannot be decoded keeps its last known state. If an entry's name cannot
--- a/crates/controller/src/serve/controller.rs
+++ b/crates/controller/src/serve/controller.rs
@@ -119,7 +119,10 @@
         }
     }
 
+    /// Starts the watch of discovery from the list that the controller last had. An empty list counts as none: if it
+    /// were out of date, proxies would be bound to empty tables although endpoints run.
     async fn start_discovery(&mut self, source: SourceId, known_endpoints: Option<EndpointList>) {
+        let known_endpoints = known_endpoints.filter(|list| !list.is_empty());
         let watch = DiscoveryWatch::new(
             self.reloader.discovery(),
             Rc::new(self.topology.clone()),
--- a/crates/controller/tests/discovery.rs
+++ b/crates/controller/tests/discovery.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, SystemTime};
 
 use harness::*;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
 
 /// Discovery accepts a watch and never answers, and an endpoint drains during that time. The watch must time
 /// out, and the next one must return the drain.
@@ -105,3 +107,25 @@
         assert_eq!(controller.counter("entries left out for an earlier start").await, 0);
     });
 }
+
+/// A controller starts without endpoints, as its list is empty or missing, while discovery is silent. Bound to empty tables,
+/// proxies would lose the endpoints that they have, although these run. Once discovery lists that there are none, it is so.
+#[test]
+fn a_controller_binds_no_proxy_to_an_empty_table_before_discovery_lists_that_there_are_no_endpoints() {
+    run_scenario(async {
+        for known in [json!({"seq": 0, "whole": true, "hosts": []}), Value::Null] {
+            let fleet = start_fleet(0).await;
+            fleet.world.discovery_silent.set(true);
+            let _controller = ControllerProcess::start(configuration(&fleet, known)).await;
+            let started_at = Instant::now();
+            sleep(Duration::from_secs(2)).await;
+            assert!((0..4).all(|proxy| fleet.world.proxies.borrow()[&proxy].bindings.is_empty()));
+            fleet.world.discovery_silent.set(false);
+            wait_until("bound", || (0..4).all(|proxy| is_bound(&fleet, proxy))).await;
+            // Discovery is asked again within 2.8 s, and waited for 1 s longer.
+            assert!(started_at.elapsed() < Duration::from_secs(8), "{:?}", started_at.elapsed());
+            fleet.start_endpoint("e0", zone(0), "large", 20.0).await.unwrap();
+            wait_until("listed", || (0..4).all(|proxy| has_endpoints(&fleet, proxy))).await;
+        }
+    });
+}
--- a/src/binding.rs
+++ b/src/binding.rs
@@ -12,8 +12,8 @@
 use crate::publication::{ADMISSION_MESSAGE_SHARE, MessageBudget, ORDINARY_QUEUE_SHARE};
 use crate::state::{Assigner, Proxy};
 
-/// How long a proxy stays unbound after it joined if no endpoint was listed at all. The list of a controller
-/// that has just started may be out of date, and is replaced within this time if discovery answers.
+/// How long a proxy stays unbound after it joined if no endpoint was listed at all. The first endpoints of a
+/// fleet that starts together with its controllers are listed within this time.
 const EMPTY_LIST_BINDING_DELAY: Duration = Duration::from_secs(1);
 
 impl Assigner {
