Message budget test: limits of cold endpoints use all of their messages before the drains

The histories had at most 6 messages with admissions in 10 s; half of them now wait for 8.5 s under changing demand first, so that 9 of 12 are used. The test asserts it.

--- a/tests/message_budget.rs
+++ b/tests/message_budget.rs
@@ -22,6 +22,8 @@
 /// The part of the fleet's capacity that the proxies' requests need.
 const LOAD: f64 = 0.6;
 const MAX_MESSAGES: usize = 12;
+/// The messages that changes of admission may use.
+const MAX_ADMISSION_MESSAGES: usize = 9;
 const MESSAGE_WINDOW: Duration = Duration::from_secs(10);
 /// How long proxies may send requests to an endpoint after the controller was notified of its end.
 const DRAIN_GRACE: Duration = Duration::from_millis(3000);
@@ -49,6 +51,17 @@
     }
 }
 
+/// What the proxies bring in one second.
+#[derive(Clone, Copy)]
+struct Demand {
+    /// How many times their usual requests.
+    surge: f64,
+    /// The ratio of the requests that are of the class that may be served anywhere.
+    anywhere: f64,
+}
+
+const USUAL_DEMAND: Demand = Demand { surge: 1.0, anywhere: 0.58 };
+
 /// An assigner, and what its proxies hold. Messages arrive at once.
 struct Fleet {
     assigner: Assigner,
@@ -63,9 +76,11 @@
     /// When each endpoint that is listed as running started; `None` if that is long ago.
     running: BTreeMap<u32, Option<Duration>>,
     nonce: Nonce,
-    /// How many times their usual requests the proxies bring, in turn from second to second.
-    surges: [f64; 2],
+    /// What the proxies bring, in turn from second to second.
+    demands: Vec<Demand>,
     seconds: usize,
+    /// When each proxy was sent a message whose orders withdraw nothing and change its admission.
+    admission_messages: BTreeMap<u32, BTreeSet<Duration>>,
 }
 
 impl Fleet {
@@ -79,8 +94,9 @@
             ended: BTreeMap::new(),
             running: (0..ENDPOINTS).map(|endpoint| (endpoint, None)).collect(),
             nonce: 0,
-            surges: [1.0, 1.0],
+            demands: vec![USUAL_DEMAND],
             seconds: 0,
+            admission_messages: BTreeMap::new(),
         };
         let list: Vec<EndpointUpdate> = (0..ENDPOINTS).map(|e| endpoint_update(e, e % ZONES)).collect();
         let orders = fleet.assigner.update_endpoints(fleet.now, true, &list);
@@ -98,6 +114,11 @@
         tables.extend(orders.admissions.iter().map(|order| order.table.0));
         let users = self.bindings.iter().filter(|(_, table)| tables.contains(table));
         let mut reached: BTreeSet<u32> = users.map(|((proxy, _), _)| *proxy).collect();
+        if !orders.admissions.is_empty() && orders.weights.iter().all(|order| order.weight > 0.0) {
+            reached.iter().for_each(|proxy| {
+                self.admission_messages.entry(*proxy).or_default().insert(self.now);
+            });
+        }
         for WeightOrder { table, endpoint, weight } in orders.weights {
             let entries = self.tables.entry(table.0).or_default();
             match weight > 0.0 {
@@ -174,10 +195,10 @@
             self.apply(orders);
         }
         self.seconds += 1;
-        let surge = self.surges[self.seconds % 2];
+        let Demand { surge, anywhere } = self.demands[self.seconds % self.demands.len()];
         let rate = surge * LOAD * f64::from(ENDPOINTS) * WARM_CAPACITY / f64::from(PROXIES);
-        for (proxy, (class, share)) in (0..PROXIES).flat_map(|proxy| [(proxy, (0, 0.58)), (proxy, (1, 0.42))])
-        {
+        let by_class = [(0, anywhere), (1, 1.0 - anywhere)];
+        for (proxy, (class, share)) in (0..PROXIES).flat_map(|proxy| by_class.map(|class| (proxy, class))) {
             let report = DemandReport { requests: rate * share, interval };
             let orders = self.assigner.demand_report(self.now, ProxyId(proxy), ClassId(class), report);
             self.apply(orders);
@@ -199,19 +220,20 @@
         }
     }
 
-    fn max_messages_in_window(&self) -> usize {
-        let in_window =
-            |times: &BTreeSet<Duration>, from: Duration| times.range(from..from + MESSAGE_WINDOW).count();
-        let most = |times: &BTreeSet<Duration>| times.iter().map(|&from| in_window(times, from)).max();
-        self.messages.values().filter_map(most).max().unwrap_or(0)
-    }
-
     /// Cold endpoints in place of some that were lost; they are limited while their tables hold no others.
     fn return_cold(&mut self, endpoints: &[u32]) {
         self.list(endpoints, EndpointState::Running, Some(self.now));
     }
 }
 
+/// Returns the most messages that any proxy was sent within the window.
+fn most_in_window(messages: &BTreeMap<u32, BTreeSet<Duration>>) -> usize {
+    let in_window =
+        |times: &BTreeSet<Duration>, from: Duration| times.range(from..from + MESSAGE_WINDOW).count();
+    let most = |times: &BTreeSet<Duration>| times.iter().map(|&from| in_window(times, from)).max();
+    messages.values().filter_map(most).max().unwrap_or(0)
+}
+
 /// Six in ten endpoints are replaced within 7 s. Each drained endpoint had to leave two tables of the same proxies. The
 /// withdrawal from the second was spaced after that from the first, although both go in one message.
 #[test]
@@ -231,18 +253,20 @@
         }
     }
     fleet.advance(15 * 1000 * MS);
-    assert!(fleet.max_messages_in_window() <= MAX_MESSAGES, "{}", fleet.max_messages_in_window());
+    assert!(most_in_window(&fleet.messages) <= MAX_MESSAGES, "{}", most_in_window(&fleet.messages));
 }
 
 /// A zone is lost and returns cold, so that limits of admission use up to 9 of a proxy's 12 messages, while one or more
 /// endpoints of any zone drain at one instant. Neither a drain may wait for the messages, nor may there be too many.
 #[test]
 fn drains_from_two_tables_beside_the_limits_of_cold_endpoints_hold_within_the_message_limit() {
-    let mut most_messages = 0;
+    let (mut most_messages, mut most_limits) = (0, 0);
     for seed in 0..60 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut fleet = Fleet::new();
-        fleet.surges[1] = random.random_range(0.5..2.0);
+        let draw =
+            |_| Demand { surge: random.random_range(0.5..2.0), anywhere: random.random_range(0.2..0.8) };
+        fleet.demands = (0..7).map(draw).collect();
         fleet.advance(15 * 1000 * MS);
         let zone = random.random_range(0..ZONES);
         let lost: Vec<u32> = (0..ENDPOINTS).filter(|endpoint| endpoint % ZONES == zone).collect();
@@ -251,6 +275,9 @@
         fleet.return_cold(&lost[..1]);
         fleet.advance(TICK * random.random_range(1..20));
         fleet.return_cold(&lost[1..]);
+        // In half of the histories the limits have changed for some seconds before the first drain.
+        fleet.advance(TICK * random.random_range(0..2) * 85);
+        let limits = most_in_window(&fleet.admission_messages);
         for _ in 0..random.random_range(8..20) {
             fleet.advance(TICK * random.random_range(1..18));
             let count = random.random_range(1..4);
@@ -265,10 +292,12 @@
             fleet.return_cold(&returning);
         }
         fleet.advance(5 * 1000 * MS);
-        let messages = fleet.max_messages_in_window();
+        let messages = most_in_window(&fleet.messages);
         assert!(messages <= MAX_MESSAGES, "seed {seed}: {messages} messages");
         most_messages = most_messages.max(messages);
+        most_limits = most_limits.max(limits);
     }
-    // The histories do come near the limit.
+    // The histories do come near the limit, and the limits of cold endpoints do use their part of it.
     assert!(most_messages >= MAX_MESSAGES - 1, "{most_messages}");
+    assert!(most_limits >= MAX_ADMISSION_MESSAGES, "{most_limits}");
 }
