Binding: a waiting withdrawal goes before proxies that are bound anew

What callers would see: the watch stream breaks several times in a few seconds while endpoints end, and requests go to an ended endpoint for longer than the grace.

Cause: a withdrawal waits until the last message of each proxy of its table is 1.67 s old. A proxy whose binding is unconfirmed was bound anew by its own messages alone, so the proxies of a table got messages at different times, and the wait began again with each.

Why it works: while a withdrawal waits for a shard, its proxies are bound anew only in a message that they are sent anyway, which the withdrawal begins. It waits for one spacing at most.

The test draws lost zones, cold and warm returns, pauses, broken watch streams, joins and leaves: each joined proxy is bound in 2.54 s, none is without an endpoint while a warm one may serve it, at most 12 messages in 10 s.

--- a/src/binding.rs
+++ b/src/binding.rs
@@ -39,15 +39,23 @@
 
     /// Whether a proxy has to be bound, or bound again. If the watch stream or calls break repeatedly, a
     /// proxy's binding may stay unconfirmed although the proxy is bound. Such a proxy is bound again only
-    /// with messages that drains do not need, because a drain waits for all proxies of a table.
+    /// with messages that drains do not need, because a drain waits for all proxies of a table: it would wait
+    /// again and again if its proxies were bound one after the other. So a withdrawal goes first, and the
+    /// binding in the same message.
     fn needs_binding(&self, proxy: &Proxy) -> bool {
         let may_be_bound_again = || {
             let budget = MessageBudget::spaced(ADMISSION_MESSAGE_SHARE);
-            proxy.unconfirmed_binding.is_some() && self.has_message_budget(proxy, budget)
+            proxy.unconfirmed_binding.is_some()
+                && self.has_message_budget(proxy, budget)
+                && (proxy.is_sent_message_at(self.now) || !self.has_waiting_withdrawal(proxy.shard))
         };
         proxy.left_at.is_none() && (!proxy.is_bound || may_be_bound_again())
     }
 
+    fn has_waiting_withdrawal(&self, shard: usize) -> bool {
+        self.tables[self.shards.tables_of(shard)].iter().any(|table| table.pending.has_withdrawal)
+    }
+
     /// Whether a proxy joined so recently that the first endpoints may still be listed.
     fn awaits_first_endpoint(&self, proxy: &Proxy) -> bool {
         self.endpoints.len() == 0 && self.now < proxy.joined_at + EMPTY_LIST_BINDING_DELAY
