Tests: one reader of seeds for generated histories; a table in several calls

soak and relay_outages read their seeds by two copies of one function, and call_charges needs a third: it stands in the harness now. A new scenario has a table of 700 long names that fits into no call: the rest of each call is admitted before it is sent, and all proxies get their whole table.

--- a/crates/controller/tests/call_charges.rs
+++ b/crates/controller/tests/call_charges.rs
@@ -11,7 +11,10 @@
 
 use dahliaroad_demo::Fleet;
 use harness::scripted_relay::{CommitCall, ScriptedRelay, WatchStream};
-use harness::{ControllerProcess, DRAIN_GRACE, configuration, run_scenario, start_fleet, zone};
+use harness::{
+    ControllerProcess, DRAIN_GRACE, configuration, is_in_any_table, run_scenario, seeds, start_fleet,
+    wait_until, zone,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -30,6 +33,10 @@
 /// The longest time for a drain that need not wait for messages, on a busy machine.
 const UNSPACED_DRAIN: Duration = Duration::from_secs(1);
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Histories that are played in parallel, each with its own controller.
+const PARALLEL_HISTORIES: usize = 12;
+/// The seeds played without `DAHLIAROAD_CHARGE_SEEDS`.
+const SEEDS: std::ops::Range<u64> = 0..12;
 /// How long the trouble of a generated history lasts.
 const TROUBLE: Duration = Duration::from_secs(15);
 /// After it all messages of the trouble have left the window, and what is owed is sent.
@@ -162,7 +169,7 @@
     }
 
     async fn wait_for(&self, what: &str, holds: impl Fn(&Relay) -> bool) {
-        harness::wait_until(what, || holds(&self.relay.borrow())).await;
+        wait_until(what, || holds(&self.relay.borrow())).await;
     }
 
     /// Lists a new endpoint that the relay does not know yet.
@@ -355,11 +362,39 @@
 /// their grace where the outcome of each call is known; and all orders are in effect in the end.
 #[test]
 fn for_all_outcomes_of_calls_messages_and_drains_keep_their_limits() {
+    for batch in seeds("DAHLIAROAD_CHARGE_SEEDS", SEEDS).chunks(PARALLEL_HISTORIES) {
+        run_scenario(async {
+            let mut playing = JoinSet::new();
+            for &seed in batch {
+                playing.spawn_local(History { seed, has_unknown_outcomes: seed % 2 == 1 }.play());
+            }
+            playing.join_all().await;
+        });
+    }
+}
+
+/// A table does not fit into one call, and its proxies are bound in a later call than the first. Each call waits until the
+/// assigner has admitted the rest; none of it may be lost, and each proxy gets all of its table.
+#[test]
+fn a_table_that_exceeds_a_call_reaches_its_proxies_in_parts() {
+    const LONG_TABLE: u32 = 700;
     run_scenario(async {
-        let mut playing = JoinSet::new();
-        for seed in 0..12 {
-            playing.spawn_local(History { seed, has_unknown_outcomes: seed % 2 == 1 }.play());
+        let fleet = start_fleet(0).await;
+        let unreachable = "127.0.0.1:9".parse().unwrap();
+        let name = |number: u32| format!("e{number}-{}", "x".repeat(100));
+        for number in 0..LONG_TABLE {
+            fleet.world.add_endpoint(&name(number), zone(number), "large", 20.0, unreachable);
         }
-        playing.join_all().await;
+        let controller = ControllerProcess::start(configuration(&fleet, fleet.world.list(None))).await;
+        let entries = |proxy: u32| {
+            let proxies = fleet.world.proxies.borrow();
+            proxies[&proxy].tables.values().map(BTreeMap::len).max().unwrap_or(0)
+        };
+        // All endpoints of the proxy's zone.
+        wait_until("complete tables", || (0..4).all(|proxy| entries(proxy) >= LONG_TABLE as usize / 2)).await;
+        assert!(controller.counter("calls sent to the relay").await > 1);
+        fleet.world.set_health(&name(0), "leaving");
+        wait_until("withdrawn", || !is_in_any_table(&fleet, &name(0))).await;
+        assert_eq!(controller.counter("calls answered short").await, 0);
     });
 }
--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -33,6 +33,13 @@
     LocalSet::new().block_on(&runtime, bounded);
 }
 
+/// Returns the seeds of generated histories: those of the environment's `variable`, as `100..150`, or the default ones.
+pub fn seeds(variable: &str, default: impl IntoIterator<Item = u64>) -> Vec<u64> {
+    let Ok(text) = std::env::var(variable) else { return default.into_iter().collect() };
+    let (first, end) = text.split_once("..").expect("FIRST..END");
+    (first.parse().expect("a seed")..end.parse().expect("a seed")).collect()
+}
+
 /// Polls a condition until it holds. Panics with `what` after [`WAIT_TIMEOUT`].
 pub async fn wait_until(what: &str, holds: impl Fn() -> bool) {
     let wait = async {
--- a/crates/controller/tests/relay_outages/main.rs
+++ b/crates/controller/tests/relay_outages/main.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use findings::Findings;
-use harness::run_scenario;
+use harness::{run_scenario, seeds};
 use history::History;
 use playback::{PlayedHistory, play_all};
 
@@ -30,21 +30,13 @@
 /// Seeds that failed once, even after the repair.
 const REGRESSION_SEEDS: [u64; 1] = [1049];
 
-/// Returns the seeds to play. `DAHLIAROAD_OUTAGE_SEEDS=100..150` replaces the default ones.
-fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("DAHLIAROAD_OUTAGE_SEEDS") else {
-        return SEEDS.chain(REGRESSION_SEEDS).collect();
-    };
-    let (first, end) = text.split_once("..").expect("FIRST..END");
-    (first.parse().expect("a seed")..end.parse().expect("a seed")).collect()
-}
-
 /// The relay goes silent, breaks calls and answers, or rejects calls, while endpoints drain, leave and
 /// return. No drain may exceed the grace, counted from the relay's return, and no proxy may get more messages
 /// than its limit.
 #[test]
 fn drains_and_messages_keep_their_limits_through_silences_and_broken_calls_of_the_relay() {
-    let histories = seeds().into_iter().map(History::generate);
+    let seeds = seeds("DAHLIAROAD_OUTAGE_SEEDS", SEEDS.chain(REGRESSION_SEEDS));
+    let histories = seeds.into_iter().map(History::generate);
     assert_limits_kept(histories.collect());
 }
 
--- a/crates/controller/tests/soak/main.rs
+++ b/crates/controller/tests/soak/main.rs
@@ -9,7 +9,7 @@
 mod playback;
 mod rule_monitor;
 
-use harness::run_scenario;
+use harness::{run_scenario, seeds};
 use history::History;
 use playback::play_all;
 
@@ -18,13 +18,6 @@
 /// The seeds played without `DAHLIAROAD_SOAK_SEEDS`.
 const SEEDS: std::ops::Range<u64> = 0..24;
 
-/// Returns the seeds to play. `DAHLIAROAD_SOAK_SEEDS=100..150` replaces the default ones.
-fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("DAHLIAROAD_SOAK_SEEDS") else { return SEEDS.collect() };
-    let (first, end) = text.split_once("..").expect("FIRST..END");
-    (first.parse().expect("a seed")..end.parse().expect("a seed")).collect()
-}
-
 /// No proxy holds a drained or removed endpoint, and no joined proxy is without an endpoint, for longer than the
 /// drain grace and some slack. No proxy gets more messages than its limit. A restarted controller is ready
 /// within ten seconds; no controller stalls, ends unrequested, or exits with a code other than 0. At the end
@@ -32,7 +25,7 @@
 #[test]
 fn the_rules_hold_during_combined_disturbances() {
     let mut failed = Vec::new();
-    for batch in seeds().chunks(PARALLEL_HISTORIES) {
+    for batch in seeds("DAHLIAROAD_SOAK_SEEDS", SEEDS).chunks(PARALLEL_HISTORIES) {
         let histories: Vec<History> = batch.iter().copied().map(History::generate).collect();
         run_scenario(async {
             for played in play_all(histories).await {
