Message budget: proxies of a table are looked up in one place

A change of form only: count_messages had the lookup that recipients does; two comments are wrapped again.

Measured: all tests of the package pass; formatter and linter are clean.

--- a/src/message_budget.rs
+++ b/src/message_budget.rs
@@ -70,8 +70,7 @@
 
     /// Counts a message with `lines` lines of content to each proxy that is bound to a table.
     pub(crate) fn count_messages(&mut self, table: usize, lines: usize) {
-        let members = &self.shards.members[self.shards.shard_of_table(table)];
-        let bound = members.iter().copied().filter(|id| self.proxies[id].is_bound);
+        let bound = self.recipients(Recipients::Table(TableId::from_index(table)));
         for proxy in bound.collect::<Vec<ProxyId>>() {
             self.count_message(proxy, lines);
         }
--- a/src/publication.rs
+++ b/src/publication.rs
@@ -6,8 +6,9 @@
 //! A *withdrawal* removes the entry of an endpoint that drains, is gone or is ejected. Withdrawals may use
 //! all of a proxy's messages and most of the channel's queue, so that a drain never waits behind ordinary
 //! changes. The first entries of a table that proxies use may use all of their messages too, if one is warm:
-//! without them the proxies have no endpoint. Other urgent entries have the limits of ordinary weights. Withdrawals and other urgent entries
-//! are exempt from the ordinary publish rate. Admission changes may use more messages than weight changes.
+//! without them the proxies have no endpoint. Other urgent entries have the limits of ordinary weights.
+//! Withdrawals and other urgent entries are exempt from the ordinary publish rate. Admission changes may use
+//! more messages than weight changes.
 
 use crate::actions::Action;
 use crate::ids::{ClassSet, EndpointId, TableId};
@@ -38,8 +39,8 @@
 
 impl Assigner {
     /// Returns the table to publish for its urgent entries: entries of endpoints that drain, are gone or are
-    /// ejected, too large entries of endpoints that warm up, or the first entries of a table. Of several tables, the one with the oldest
-    /// publication is returned.
+    /// ejected, too large entries of endpoints that warm up, or the first entries of a table. Of several
+    /// tables, the one with the oldest publication is returned.
     pub(crate) fn table_with_urgent_entries(&self) -> Option<Action> {
         let may_publish = |&table: &usize| {
             let urgent = self.tables[table].pending.urgent;
