--- a/crates/controller/tests/harness/mod.rs
+++ b/crates/controller/tests/harness/mod.rs
@@ -17,7 +17,7 @@
 use dahliaroad_demo::{Collector, Fleet};
 use serde_json::{Value, json};
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 pub use controller_process::{ControllerProcess, assert_answers, controller_command};
 pub use traffic::{DRAIN_GRACE, TrafficMonitor};
@@ -40,6 +40,12 @@
     (first.parse().expect("a seed")..end.parse().expect("a seed")).collect()
 }
 
+/// Returns the most of these times that lie within one span.
+pub fn most_within(times: &[Instant], span: Duration) -> usize {
+    let within = |from: &Instant| times.iter().filter(|at| *at >= from && **at < *from + span).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
 /// Polls a condition until it holds. Panics with `what` after [`WAIT_TIMEOUT`].
 pub async fn wait_until(what: &str, holds: impl Fn() -> bool) {
     let wait = async {
--- a/crates/controller/tests/relay_outages/playback.rs
+++ b/crates/controller/tests/relay_outages/playback.rs
@@ -9,7 +9,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::findings::{Findings, MESSAGES_SPAN};
-use crate::harness::{ControllerProcess, configuration, is_bound, report_load, start_fleet, wait_until};
+use crate::harness::{
+    ControllerProcess, configuration, is_bound, most_within, report_load, start_fleet, wait_until,
+};
 use crate::history::{ENDPOINTS, History};
 use crate::table_monitor::TableMonitor;
 
@@ -67,10 +69,8 @@
 fn most_messages(fleet: &Fleet) -> usize {
     let delivered = fleet.world.delivered.borrow();
     let to_proxy = |node: u32| delivered.iter().filter(move |(_, to)| *to == node).map(|(at, _)| *at);
-    let within_span =
-        |node: u32, from: Instant| to_proxy(node).filter(move |at| *at >= from && *at < from + MESSAGES_SPAN);
-    let most = |node: u32| to_proxy(node).map(|from| within_span(node, from).count()).max();
-    (0..PROXIES).filter_map(most).max().unwrap_or(0)
+    let most = |node: u32| most_within(&to_proxy(node).collect::<Vec<Instant>>(), MESSAGES_SPAN);
+    (0..PROXIES).map(most).max().unwrap_or(0)
 }
 
 /// Returns the number of classes of bound proxies without an endpoint in their table.
